Serve on the users' platform: whole path, thin

Cause: the product spoke its own protocols only. Every part that translates is in platform/; receiver, dispatcher, chooser, carrier, admitter, deliverer, follower, shifter and sidecar are the product's. Ruled out: net/http's server at the entry (it answers pipelined requests one after the other) and a second log of ours between operators and daemons.

--- a/cmd/coltsfootd/main.go
+++ b/cmd/coltsfootd/main.go
@@ -3,17 +3,23 @@
 
 import (
 	"context"
+	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/charmbracelet/log"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
+	"github.com/coltsfootlane/coltsfootlane/internal/narrator"
 	"github.com/coltsfootlane/coltsfootlane/internal/server"
+	"github.com/coltsfootlane/coltsfootlane/internal/sidecar"
 	"github.com/coltsfootlane/coltsfootlane/internal/storer"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
+	"github.com/coltsfootlane/coltsfootlane/platform"
 )
 
 // Exit codes.
@@ -47,6 +53,9 @@
 func run(settings loader.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	if settings.Sidecar != nil {
+		return runSidecar(ctx, settings)
+	}
 	return server.New(server.Options{
 		Settings: settings,
 		Platform: storer.HTTP(settings.Platform, settings.Patience.Duration),
@@ -54,3 +63,23 @@
 		Log:      server.NewLog(os.Stderr, settings.Log),
 	}).Run(ctx)
 }
+
+// runSidecar serves on the users' platform.
+func runSidecar(ctx context.Context, settings loader.Settings) error {
+	clock := timekeeper.System{}
+	out := narrator.New(os.Stdout)
+	defer out.Close()
+	logger := server.NewLog(out, settings.Log)
+	stdlog.SetOutput(io.Discard)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Sidecar.Memory<<20)))
+	return sidecar.New(sidecar.Options{
+		Settings: settings,
+		Platform: platform.Adapter(settings.Platform, settings.Patience.Duration),
+		Clock:    clock,
+		Log:      logger,
+	}).Run(ctx)
+}
+
+// memoryShare is the part of the process's memory at which garbage is collected
+// more often.
+const memoryShare = 0.6
--- /dev/null
+++ b/internal/carrier/client.go
@@ -0,0 +1,126 @@
+package carrier
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
+	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
+)
+
+// Times and sizes of the way between daemons.
+const (
+	// silence is how long a daemon may say nothing of an order that it was
+	// sent: a daemon says at once that it has handed an order over, refuses it,
+	// or that it has queued it.
+	silence = 150 * time.Millisecond
+	// expectBytes is the size from which a body is sent only once it is asked
+	// for, so that a refusal doesn't carry it to another zone.
+	expectBytes = 8 << 10
+)
+
+// errSilent is the cause of a send that is given up since the daemon said
+// nothing.
+var errSilent = errors.New("daemon silent")
+
+// Client sends orders to the daemons of other VMs.
+type Client struct {
+	Key       string
+	Transport http.RoundTripper
+	// Silent is told of a daemon that has said nothing for too long.
+	Silent func(address string)
+}
+
+// Send sends an order to the daemon at an address. Its error is a *Failure.
+func (c *Client) Send(ctx context.Context, address string, o *Order) (*Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, o.Deadline)
+	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	var heard atomic.Bool
+	watch := time.AfterFunc(silence, func() {
+		if heard.Load() {
+			return
+		}
+		c.Silent(address)
+		if o.Kind == matcher.Idempotent {
+			giveUp(errSilent)
+		}
+	})
+	defer watch.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			heard.Store(true)
+			return nil
+		},
+	})
+	resp, err := forwarder.RoundTrip(c.Transport, c.request(ctx, address, o))
+	if err != nil {
+		return nil, c.failed(ctx, err)
+	}
+	heard.Store(true)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, c.failed(ctx, classifier.Fail(classifier.MayHaveRun, "answer broke off between daemons", err))
+	}
+	return readAnswer(resp, body)
+}
+
+func (c *Client) failed(ctx context.Context, err error) error {
+	f := Fail(err)
+	if context.Cause(ctx) == errSilent {
+		f.Failure = classifier.Fail(f.Verdict, "daemon of the target silent", err)
+	}
+	return f
+}
+
+func (c *Client) request(ctx context.Context, address string, o *Order) *http.Request {
+	h := forwarder.Carried(o.Header)
+	o.write(h, c.Key)
+	r := &http.Request{
+		Method:        o.Method,
+		URL:           o.URL(address),
+		Host:          o.Host,
+		Header:        h,
+		Body:          forwarder.NewBody(o.Body),
+		ContentLength: int64(len(o.Body)),
+	}
+	if len(o.Body) >= expectBytes {
+		h.Set("Expect", "100-continue")
+	}
+	return r.WithContext(ctx)
+}
+
+// URL returns the URL that carries the order's path, byte for byte, to an
+// address.
+func (o *Order) URL(address string) *url.URL {
+	return &url.URL{
+		Scheme: "http",
+		Host:   address,
+		Opaque: o.URI,
+	}
+}
+
+// readAnswer tells a target's answer from a failure that its daemon reports.
+func readAnswer(resp *http.Response, body []byte) (*Answer, error) {
+	status, err := strconv.Atoi(resp.Header.Get(statusHeader))
+	if err != nil {
+		return nil, readFailure(resp.Header)
+	}
+	return &Answer{
+		Status: status,
+		Header: forwarder.Carried(resp.Header),
+		Body:   body,
+		Load:   readLoad(resp.Header),
+	}, nil
+}
--- /dev/null
+++ b/internal/carrier/server.go
@@ -0,0 +1,91 @@
+package carrier
+
+import (
+	"context"
+	"crypto/subtle"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
+	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
+)
+
+// Server takes orders from other daemons.
+type Server struct {
+	Key     string
+	Deliver Deliver
+	// MaxBody bounds an order's body, in bytes.
+	MaxBody func() int64
+}
+
+// startedKey is the context key of the function that tells the sender that its
+// order was handed over or queued.
+type startedKey struct{}
+
+// Started tells the daemon that sent the order that it was taken.
+func Started(ctx context.Context) {
+	if tell, ok := ctx.Value(startedKey{}).(func()); ok {
+		tell()
+	}
+}
+
+// ServeHTTP takes one order.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get(forwarder.KeyHeader)), []byte(s.Key)) != 1 {
+		fail(w, &Failure{Failure: classifier.Fail(classifier.NotRun, "wrong key", nil)})
+		return
+	}
+	o := readOrder(r)
+	started := false
+	read := func() error {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody()))
+		o.Body = body
+		return err
+	}
+	ctx := context.WithValue(r.Context(), startedKey{}, func() {
+		if !started {
+			started = true
+			w.WriteHeader(http.StatusProcessing)
+		}
+	})
+	if len(r.Header["Expect"]) == 0 {
+		if err := read(); err != nil {
+			fail(w, &Failure{Failure: classifier.Fail(classifier.NotRun, "order broke off", err)})
+			return
+		}
+		read = nil
+	}
+	answer, err := s.Deliver(context.WithValue(ctx, bodyKey{}, read), o)
+	if err != nil {
+		fail(w, Fail(err))
+		return
+	}
+	h := w.Header()
+	for name, values := range answer.Header {
+		h[name] = values
+	}
+	writeLoad(h, answer.Load)
+	h.Set(statusHeader, strconv.Itoa(answer.Status))
+	h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(answer.Body)
+}
+
+// bodyKey is the context key of the function that reads an order's body.
+type bodyKey struct{}
+
+// ReadBody reads the order's body if its sender waits to be asked for it.
+func ReadBody(ctx context.Context) error {
+	if read, ok := ctx.Value(bodyKey{}).(func() error); ok && read != nil {
+		return read()
+	}
+	return nil
+}
+
+// fail answers an order that the target has not answered.
+func fail(w http.ResponseWriter, f *Failure) {
+	writeFailure(w.Header(), f)
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/internal/chooser/chooser.go
@@ -0,0 +1,277 @@
+// Package chooser picks the target that is expected to answer a request first.
+//
+// It knows what the targets' daemons told with their latest answers (load,
+// service times, failures) and what it has itself under way at each.
+package chooser
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
+)
+
+// Weights of a choice.
+const (
+	// defaultWork stands for the service time of a rule that no target has
+	// told yet.
+	defaultWork = 60 * time.Millisecond
+	// loadSlowdown is the part by which a target with all slots busy is taken
+	// to be slower than an idle one.
+	loadSlowdown = 0.5
+	// failurePenalty is what a target costs that fails every request: as much
+	// as a client loses that has to send again.
+	failurePenalty = 600 * time.Millisecond
+	// farPenalty is the cost of another zone: two crossings of a millisecond.
+	farPenalty = 2 * time.Millisecond
+	// farBytePenalty is the cost of carrying a kilobyte to another zone.
+	farBytePenalty = 250 * time.Microsecond
+	// suspectPenalty puts a target that did not answer behind all others.
+	suspectPenalty = 10 * time.Second
+	// jitter is the part by which costs are varied, so that daemons that know
+	// the same do not all choose the same target.
+	jitter = 0.15
+)
+
+// Times of what is known.
+const (
+	// minSuspicion is how long a target that could not be reached is avoided,
+	// and doubles with each further failure up to maxSuspicion.
+	minSuspicion = 300 * time.Millisecond
+	maxSuspicion = 2 * time.Second
+	// trustTime is the age at which nothing is believed any more of a target's
+	// service times and failures, so that it is tried again.
+	trustTime = 5 * time.Second
+	// forgetAfter drops what is known of a target that was not used.
+	forgetAfter = time.Minute
+)
+
+// Target is one that may be chosen.
+type Target struct {
+	// Daemon names the VM that the target stands on, and Address is where its
+	// daemon takes requests.
+	Daemon  string
+	Address string
+	// Instance identifies one start of the target.
+	Instance string
+	Version  string
+	Zone     string
+	// Near means that it stands in the chooser's own zone.
+	Near  bool
+	Slots int
+}
+
+// Load is what a target's daemon tells of it with each answer.
+type Load struct {
+	Running int
+	Queued  int
+	Slots   int
+	// Work is the mean service time of the answered rule's requests, or 0.
+	Work time.Duration
+	// Failing is the share of its latest answers that were failures, 0 to 1.
+	Failing float64
+	// Wait is how long the target takes nothing more, or 0.
+	Wait time.Duration
+}
+
+// state is what is known of one target.
+type state struct {
+	load Load
+	// underWay counts the chooser's own requests, and underWayThen those when
+	// the load was told.
+	underWay     int
+	underWayThen int
+	work         map[string]time.Duration
+	avoidUntil   time.Time
+	// suspectUntil and strikes say for how long the target is avoided after
+	// failures to reach it in a row.
+	suspectUntil time.Time
+	strikes      int
+	heard        time.Time
+	used         time.Time
+}
+
+// Chooser chooses between targets. It is safe for concurrent use.
+type Chooser struct {
+	Clock timekeeper.Clock
+
+	mu     sync.Mutex
+	states map[string]*state
+	// work is the mean service time of each rule over all targets.
+	work  map[string]time.Duration
+	swept time.Time
+}
+
+// New returns a chooser that knows nothing yet.
+func New(clock timekeeper.Clock) *Chooser {
+	return &Chooser{
+		Clock:  clock,
+		states: map[string]*state{},
+		work:   map[string]time.Duration{},
+	}
+}
+
+// Wanted describes the request that a target is chosen for.
+type Wanted struct {
+	Rule string
+	// Bytes is the size of the request's body.
+	Bytes int
+	// Avoid reports whether a target must not be chosen; nil avoids none.
+	Avoid func(instance string) bool
+}
+
+// Pick returns the target with the least expected cost; ok is false when there
+// is none. Cost is the expected time to an answer.
+func (c *Chooser) Pick(targets []Target, w Wanted) (best Target, cost time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	c.sweep(now)
+	for _, t := range targets {
+		if w.Avoid != nil && w.Avoid(t.Instance) {
+			continue
+		}
+		estimate := c.cost(c.state(t.Instance, now), t, w, now)
+		estimate += time.Duration(float64(estimate) * jitter * rand.Float64())
+		if !ok || estimate < cost {
+			best, cost, ok = t, estimate, true
+		}
+	}
+	return best, cost, ok
+}
+
+// cost estimates the time to an answer from a target.
+func (c *Chooser) cost(s *state, t Target, w Wanted, now time.Time) time.Duration {
+	stale := min(1, float64(now.Sub(s.heard))/float64(trustTime))
+	work, known := s.work[w.Rule]
+	if !known {
+		work = c.expected(w.Rule)
+	}
+	work += time.Duration(stale * float64(c.expected(w.Rule)-work))
+	slots := max(1, t.Slots)
+	load := max(s.underWay, s.load.Running+s.load.Queued+s.underWay-s.underWayThen)
+	cost := work + time.Duration(float64(work)*loadSlowdown*min(1, float64(load)/float64(slots)))
+	if over := load + 1 - slots; over > 0 {
+		cost += work * time.Duration(over) / time.Duration(slots)
+	}
+	cost += time.Duration((1 - stale) * s.load.Failing * float64(failurePenalty))
+	if !t.Near {
+		cost += farPenalty + farBytePenalty*time.Duration(w.Bytes>>10)
+	}
+	if wait := s.avoidUntil.Sub(now); wait > 0 {
+		cost += wait
+	}
+	if s.suspectUntil.After(now) {
+		cost += suspectPenalty
+	}
+	return cost
+}
+
+func (c *Chooser) expected(rule string) time.Duration {
+	if work, ok := c.work[rule]; ok {
+		return work
+	}
+	return defaultWork
+}
+
+// Expected returns the mean service time of a rule's requests.
+func (c *Chooser) Expected(rule string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expected(rule)
+}
+
+func (c *Chooser) state(instance string, now time.Time) *state {
+	s, ok := c.states[instance]
+	if !ok {
+		s = &state{work: map[string]time.Duration{}}
+		c.states[instance] = s
+	}
+	s.used = now
+	return s
+}
+
+// sweep forgets the targets that were not used for long.
+func (c *Chooser) sweep(now time.Time) {
+	if now.Sub(c.swept) < forgetAfter {
+		return
+	}
+	c.swept = now
+	for instance, s := range c.states {
+		if s.underWay == 0 && now.Sub(s.used) > forgetAfter {
+			delete(c.states, instance)
+		}
+	}
+}
+
+// Started counts a request as under way at a target.
+func (c *Chooser) Started(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state(instance, c.Clock.Now()).underWay++
+}
+
+// Ended counts a request at a target as ended.
+func (c *Chooser) Ended(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.state(instance, c.Clock.Now())
+	s.underWay = max(0, s.underWay-1)
+	s.underWayThen = min(s.underWayThen, s.underWay+s.load.Running)
+}
+
+// meanShare is the weight of a new value in a running mean over all targets.
+const meanShare = 0.05
+
+// Heard takes in what an answer, or a refusal, told of a target.
+func (c *Chooser) Heard(instance, rule string, l Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	s := c.state(instance, now)
+	s.load = l
+	s.heard = now
+	s.underWayThen = s.underWay
+	s.strikes = 0
+	s.suspectUntil = time.Time{}
+	s.avoidUntil = now.Add(l.Wait)
+	if l.Work <= 0 {
+		return
+	}
+	s.work[rule] = l.Work
+	if mean, ok := c.work[rule]; ok {
+		c.work[rule] = mean + time.Duration(meanShare*float64(l.Work-mean))
+	} else {
+		c.work[rule] = l.Work
+	}
+}
+
+// Unreachable notes that a target's daemon did not answer.
+func (c *Chooser) Unreachable(instance string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	s := c.state(instance, now)
+	if s.suspectUntil.After(now) {
+		return
+	}
+	s.suspectUntil = now.Add(min(maxSuspicion, minSuspicion<<s.strikes))
+	s.strikes = min(s.strikes+1, 3)
+}
+
+// Failing returns the mean share of failures that targets have told of.
+func (c *Chooser) Failing(targets []Target) float64 {
+	if len(targets) == 0 {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var sum float64
+	for _, t := range targets {
+		if s, ok := c.states[t.Instance]; ok {
+			sum += s.load.Failing
+		}
+	}
+	return sum / float64(len(targets))
+}
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -58,9 +58,9 @@
 	"Upgrade",
 }
 
-// carried returns a copy of the headers without those of one connection and
+// Carried returns a copy of the headers without those of one connection and
 // without the system's own.
-func carried(h http.Header) http.Header {
+func Carried(h http.Header) http.Header {
 	c := make(http.Header, len(h)+4)
 	for name, values := range h {
 		if !strings.HasPrefix(name, ownPrefix) {
--- a/internal/forwarder/trip.go
+++ b/internal/forwarder/trip.go
@@ -1,21 +1,70 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
 
+// Times of connections.
+const (
+	// dialTimeout bounds the making of a connection; inside a region it takes
+	// a few milliseconds.
+	dialTimeout = time.Second
+	// idleTimeout closes a connection that was not used.
+	idleTimeout = 30 * time.Second
+	// probeIdle and probeInterval are the times after which an idle connection
+	// is probed, so that one that went silent is noticed within seconds.
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
+	// unackedTimeout bounds the time that sent bytes stay unacknowledged.
+	unackedTimeout = 1500 * time.Millisecond
+)
+
 // NewTransport returns the transport for requests between daemons and to
 // targets. Connections are kept and reused.
 func NewTransport(connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: time.Second}
+	return NewTransportWith(TransportOptions{
+		Connections: connections,
+		Dial:        dialTimeout,
+		Idle:        idleTimeout,
+	})
+}
+
+// TransportOptions set up a transport.
+type TransportOptions struct {
+	// Connections bounds the connections to one address.
+	Connections int
+	// Dial bounds the making of a connection.
+	Dial time.Duration
+	// Idle is how long an unused connection is kept.
+	Idle time.Duration
+}
+
+// NewTransportWith returns a transport set up by options. A connection on which
+// the peer acknowledges nothing is given up.
+func NewTransportWith(o TransportOptions) *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: o.Dial,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     probeIdle,
+			Interval: probeInterval,
+			Count:    probeCount,
+		},
+		Control: limitUnacked,
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
@@ -25,13 +74,26 @@
 			return &countingConn{Conn: conn}, nil
 		},
 		DisableCompression:    true,
-		MaxIdleConnsPerHost:   connections,
-		MaxConnsPerHost:       connections,
-		IdleConnTimeout:       30 * time.Second,
+		MaxIdleConnsPerHost:   o.Connections,
+		MaxConnsPerHost:       o.Connections,
+		IdleConnTimeout:       o.Idle,
 		ExpectContinueTimeout: maxTimeout,
 	}
 }
 
+// limitUnacked lets the kernel give a connection up whose sent bytes stay
+// unacknowledged.
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	var optionErr error
+	err := raw.Control(func(fd uintptr) {
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
 // countingConn is a connection that counts what is written to it.
 type countingConn struct {
 	net.Conn
@@ -48,6 +110,11 @@
 	return n, err
 }
 
+// NewBody returns a request body that is sent at most once.
+func NewBody(data []byte) io.ReadCloser {
+	return &body{Reader: bytes.NewReader(data)}
+}
+
 // body is a request body that the transport sends at most once, since it is
 // neither empty nor rewindable to it. It notes whether it was read and how
 // reading failed.
@@ -106,15 +173,24 @@
 	return c != nil && c.writing.Load() == 0 && c.written.Load() == t.start.Load()
 }
 
-// roundTrip sends one request once. Its error's verdict is NotRun when nothing
-// can have been written.
+// roundTrip sends one request once and refuses an answer of unknown length.
 func roundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
+	resp, err := RoundTrip(rt, req)
+	if err != nil {
+		return nil, err
+	}
+	return whole(resp)
+}
+
+// RoundTrip sends one request once; its body must not be rewindable. The
+// verdict of its error is NotRun when nothing can have been written.
+func RoundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
 	var t trip
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: t.gotConn})
 	resp, err := rt.RoundTrip(req.WithContext(ctx))
 	switch {
 	case err == nil:
-		return whole(resp)
+		return resp, nil
 	case !t.got.Load():
 		return nil, classifier.Fail(classifier.NotRun, "no connection", err)
 	case bodyError(req) != nil:
@@ -147,7 +223,7 @@
 // off breaks the caller's connection too, so that it never looks whole.
 func relay(w http.ResponseWriter, resp *http.Response) error {
 	h := w.Header()
-	for name, values := range carried(resp.Header) {
+	for name, values := range Carried(resp.Header) {
 		h[name] = values
 	}
 	w.WriteHeader(resp.StatusCode)
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -41,6 +41,48 @@
 	Log Log `json:"log,omitzero"`
 	// Limits bound what the daemon takes in.
 	Limits Limits `json:"limits,omitzero"`
+	// Sidecar makes the daemon follow the records of its users' platform in
+	// place of coltsfootlane's own log; nil means the log.
+	Sidecar *Sidecar `json:"sidecar,omitempty"`
+}
+
+// Sidecar is what a daemon is told that runs on its users' platform. Platform is
+// then the address of the platform's store, as IP:port.
+type Sidecar struct {
+	// Service is the one that the target on the VM belongs to, and Target the
+	// target's address.
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	// Ready is where the platform asks whether the daemon takes requests, and
+	// Metrics where counters are served.
+	Ready   string `json:"ready"`
+	Metrics string `json:"metrics"`
+	// Heartbeat is how often the target reports.
+	Heartbeat parser.Duration `json:"heartbeat"`
+	// Grace is the time between the order to stop and the kill.
+	Grace parser.Duration `json:"grace"`
+	// RetryRatio is the number of repeats a request pays for, and RetrySlack
+	// what the whole system may send beyond that in its window.
+	RetryRatio float64 `json:"retryratio"`
+	RetrySlack float64 `json:"retryslack"`
+	// Memory is what the process may use, in megabytes.
+	Memory int `json:"memory"`
+}
+
+// check reports everything that is wrong with the sidecar's settings.
+func (s *Sidecar) check(group *errs.Group) {
+	checkAddress("sidecar.target", s.Target, group)
+	checkAddress("sidecar.ready", s.Ready, group)
+	checkAddress("sidecar.metrics", s.Metrics, group)
+	if s.Service == "" {
+		group.Add(fmt.Errorf("sidecar.service: want a name"))
+	}
+	if s.Heartbeat.Duration <= 0 || s.Grace.Duration <= 0 {
+		group.Add(fmt.Errorf("sidecar: want a positive heartbeat and grace"))
+	}
+	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.Memory <= 0 {
+		group.Add(fmt.Errorf("sidecar: want no negative retry ratio or slack, and some memory"))
+	}
 }
 
 // Listen holds addresses as IP:port.
@@ -129,6 +171,9 @@
 	}
 	s.Log.check(&group)
 	s.Limits.check(&group)
+	if s.Sidecar != nil {
+		s.Sidecar.check(&group)
+	}
 	return group.Err()
 }
 
--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -71,6 +71,10 @@
 	Slots int `json:"slots"`
 	// Draining means that it takes no new work.
 	Draining bool `json:"draining,omitempty"`
+	// Instance identifies the target's start, where targets have such names.
+	Instance string `json:"instance,omitempty"`
+	// Withdrawn means that its daemon has found its version to be bad.
+	Withdrawn bool `json:"withdrawn,omitempty"`
 }
 
 // WithStatus returns a copy of m with another status.
@@ -110,7 +114,8 @@
 }
 
 func (t Target) valid() bool {
-	return validName(t.Service) && validName(t.Version) && t.Slots >= 0 && t.Slots <= maxSlots
+	return validName(t.Service) && validName(t.Version) && t.Slots >= 0 && t.Slots <= maxSlots &&
+		len(t.Instance) <= maxNameBytes
 }
 
 func validName(s string) bool { return s != "" && len(s) <= maxNameBytes }
--- /dev/null
+++ b/internal/sidecar/members.go
@@ -0,0 +1,273 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/follower"
+	"github.com/coltsfootlane/coltsfootlane/internal/prober"
+	"github.com/coltsfootlane/coltsfootlane/internal/storer"
+)
+
+// Methods of the calls between daemons.
+const (
+	memberMethod = "member"
+	copyMethod   = "copy"
+)
+
+// Times of finding and keeping up with other daemons.
+const (
+	// leaseTime is the life of the daemon's key in the store, and renewPeriod
+	// how often the lease is renewed: it shows within that time that the key was
+	// lost.
+	leaseTime   = 20 * time.Second
+	renewPeriod = 1900 * time.Millisecond
+	// registerPause is the pause after a call to the store that failed.
+	registerPause = 500 * time.Millisecond
+	// relookPeriod is how often daemons are looked up again, should groups
+	// have come up that don't know each other.
+	relookPeriod = 20 * time.Second
+	// firstRelook is the same, once, after the start.
+	firstRelook = 2 * time.Second
+	// peerPeriod is how often another daemon is asked for newer records while
+	// the store doesn't answer.
+	peerPeriod = 400 * time.Millisecond
+	// recallPeriod is how often daemons that are gone are told of the others,
+	// since one that was restarted while the store is away finds none.
+	recallPeriod = 2 * time.Second
+)
+
+// gossip runs the membership protocol.
+func (d *Daemon) gossip(ctx context.Context) {
+	ticker := time.NewTicker(prober.TickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.exchange(d.prober.Tick())
+			d.refresh()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// exchange makes calls, and those that their answers give rise to.
+func (d *Daemon) exchange(calls []prober.Call) {
+	for _, c := range calls {
+		select {
+		case d.probing <- struct{}{}:
+			go func() {
+				defer func() { <-d.probing }()
+				d.exchangeOne(c)
+			}()
+		default:
+			d.count("member.dropped")
+		}
+	}
+}
+
+func (d *Daemon) exchangeOne(c prober.Call) {
+	var answer prober.Message
+	if err := d.client.Call(context.Background(), c.To, memberMethod, c.Message, &answer); err != nil {
+		d.count("member.failed")
+		d.log.Debug("peer not reached", "peer", c.To, "kind", c.Message.Kind, "err", err)
+		return
+	}
+	d.exchange(d.prober.Accept(c, answer))
+}
+
+func (d *Daemon) answerMember(_ context.Context, m prober.Message) (prober.Message, error) {
+	answer, calls := d.prober.Answer(m)
+	d.exchange(calls)
+	return answer, nil
+}
+
+// leave says that the daemon leaves.
+func (d *Daemon) leave() {
+	d.left.Store(true)
+	d.gate.Recheck()
+	d.members.Update(func(m prober.Member) prober.Member { return m.WithStatus(prober.Left) })
+	d.exchange(d.prober.Leave())
+}
+
+// silent takes a daemon that does not answer for one that can't be reached.
+func (d *Daemon) silent(address string) {
+	for _, m := range d.members.All() {
+		if m.Admit == address && m.Target != nil {
+			d.chooser.Unreachable(m.Target.Instance)
+			d.log.Debug("daemon silent", "peer", m.ID)
+		}
+	}
+}
+
+// seeds returns the control addresses to join by.
+func (d *Daemon) seeds() []string {
+	d.knownMu.Lock()
+	defer d.knownMu.Unlock()
+	addresses := append([]string(nil), d.settings.Seeds...)
+	for _, address := range d.known {
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// register keeps the daemon's address in the store and looks up the others'. It
+// writes before it reads, so that of two daemons that start together one sees
+// the other.
+func (d *Daemon) register(ctx context.Context) {
+	store := d.platform.Store
+	key := d.platform.DaemonPrefix + d.settings.Name
+	var lease storer.LeaseID
+	relook := d.clock.Now()
+	for looks := 0; ctx.Err() == nil; {
+		var err error
+		if lease == "" {
+			lease, err = d.writeKey(ctx, key)
+		} else {
+			err = store.KeepAlive(ctx, lease)
+		}
+		if errors.Is(err, storer.ErrLease) {
+			d.log.Info("key in the store lost; writing it again")
+			lease = ""
+			continue
+		}
+		d.dependency("store registration", err == nil, err)
+		if err != nil {
+			pause(ctx, registerPause)
+			continue
+		}
+		if !d.clock.Now().Before(relook) && d.lookUp(ctx) == nil {
+			relook = d.clock.Now().Add(relookPeriod)
+			if looks++; looks == 1 {
+				relook = d.clock.Now().Add(firstRelook)
+			}
+		}
+		pause(ctx, renewPeriod)
+	}
+}
+
+// writeKey writes the daemon's key under a new lease.
+func (d *Daemon) writeKey(ctx context.Context, key string) (storer.LeaseID, error) {
+	store := d.platform.Store
+	lease, err := store.Grant(ctx, leaseTime)
+	if err != nil {
+		return "", err
+	}
+	_, err = store.PutIf(ctx, key, []byte(d.settings.Listen.Control), 0, lease)
+	if errors.Is(err, storer.ErrConflict) {
+		item, getErr := store.Get(ctx, key)
+		if getErr != nil {
+			return "", getErr
+		}
+		_, err = store.PutIf(ctx, key, []byte(d.settings.Listen.Control), item.Version, lease)
+	}
+	if err != nil {
+		return "", err
+	}
+	return lease, nil
+}
+
+// lookUp looks up the other daemons, and exchanges members at once with those
+// that are not known.
+func (d *Daemon) lookUp(ctx context.Context) error {
+	span, err := d.platform.Store.Range(ctx, d.platform.DaemonPrefix)
+	if err != nil {
+		d.log.Warn("daemons not looked up", "err", err)
+		return err
+	}
+	for _, c := range span.Changes {
+		name, address := c.Key[len(d.platform.DaemonPrefix):], string(c.Value)
+		if name == d.settings.Name {
+			continue
+		}
+		if m, ok := d.members.Get(name); !ok || m.Status > prober.Suspect {
+			d.prober.Hint(address)
+		}
+		d.knownMu.Lock()
+		d.known[name] = address
+		d.knownMu.Unlock()
+	}
+	return nil
+}
+
+// copyQuestion asks another daemon for its copy of the records under a prefix if
+// that is newer than a revision.
+type copyQuestion struct {
+	Prefix   string `json:"prefix"`
+	Revision uint64 `json:"revision"`
+}
+
+// answerCopy answers another daemon's question.
+func (d *Daemon) answerCopy(_ context.Context, q copyQuestion) (follower.Copy, error) {
+	for _, f := range []*follower.Follower{d.operator, d.outcomes} {
+		if c, ok := f.Copy(); ok && f.Prefix == q.Prefix && c.Revision > q.Revision {
+			return c, nil
+		}
+	}
+	return follower.Copy{}, nil
+}
+
+// learnFromPeers asks another daemon for newer records while the store does not
+// answer, and tells daemons that were restarted of the others.
+func (d *Daemon) learnFromPeers(ctx context.Context) {
+	recall := d.clock.Now().Add(recallPeriod)
+	for ctx.Err() == nil {
+		pause(ctx, peerPeriod)
+		for _, f := range []*follower.Follower{d.operator, d.outcomes} {
+			if !d.isReached("store " + f.Prefix) {
+				d.askPeer(ctx, f)
+			}
+		}
+		if now := d.clock.Now(); now.After(recall) {
+			recall = now.Add(recallPeriod)
+			d.recallGone()
+		}
+	}
+}
+
+// askPeer asks one other daemon for newer records.
+func (d *Daemon) askPeer(ctx context.Context, f *follower.Follower) {
+	var peers []string
+	for _, m := range d.members.All() {
+		if m.ID != d.settings.Name && m.Status <= prober.Suspect {
+			peers = append(peers, m.Control)
+		}
+	}
+	if len(peers) == 0 {
+		return
+	}
+	known, _ := f.Copy()
+	var c follower.Copy
+	peer := peers[rand.IntN(len(peers))]
+	err := d.client.Call(ctx, peer, copyMethod, copyQuestion{
+		Prefix:   f.Prefix,
+		Revision: known.Revision,
+	}, &c)
+	if err != nil {
+		d.log.Debug("no records from a peer", "peer", peer, "err", err)
+		return
+	}
+	if c.Revision > known.Revision && f.Offer(c) {
+		d.log.Info("records learned from a peer", "peer", peer, "prefix", f.Prefix, "revision", c.Revision)
+	}
+}
+
+// recallGone exchanges members with a daemon that was known and is gone.
+func (d *Daemon) recallGone() {
+	d.knownMu.Lock()
+	defer d.knownMu.Unlock()
+	for _, m := range d.members.All() {
+		if m.ID != d.settings.Name && m.Status <= prober.Suspect {
+			d.known[m.ID] = m.Control
+		}
+	}
+	for name, address := range d.known {
+		if m, ok := d.members.Get(name); !ok || m.Status > prober.Suspect {
+			d.prober.Hint(address)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/observe.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
+	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
+)
+
+func (d *Daemon) count(name string) {
+	metrics.GetOrRegisterCounter(name, d.metrics).Inc(1)
+}
+
+func (d *Daemon) time(name string, t time.Duration) {
+	metrics.GetOrRegisterTimer(name, d.metrics).Update(t)
+}
+
+// observeRequest counts and logs how a client's request has ended.
+func (d *Daemon) observeRequest(e dispatcher.Ending) {
+	d.time("request", e.Duration)
+	if e.Sends > 1 {
+		d.count("request.sentagain")
+	}
+	if e.Err == nil {
+		d.log.Info("request answered", "request", e.ID, "rule", e.Rule, "plan", e.Plan, "status", e.Status,
+			"target", e.Instance, "daemon", e.Daemon, "sends", e.Sends, "took", e.Duration)
+		return
+	}
+	d.count("request.unanswered")
+	d.log.Warn("request not answered by a target", "request", e.ID, "rule", e.Rule, "plan", e.Plan, "status", e.Status,
+		"target", e.Instance, "daemon", e.Daemon, "sends", e.Sends, "took", e.Duration, "err", e.Err)
+}
+
+// observeRefusal counts and logs a request that could not be read.
+func (d *Daemon) observeRefusal(status int, err error) {
+	d.count("request.unread")
+	d.log.Warn("request not read", "status", status, "err", err)
+}
+
+// observeOrder counts and logs how an order at the own target has ended.
+func (d *Daemon) observeOrder(o *carrier.Order, e deliverer.Ending) {
+	d.time("order", e.Duration)
+	d.judgeOrder(o, e)
+	if e.Bad() {
+		d.count("order.failed")
+		d.log.Warn("target failed a request", "request", o.ID, "rule", o.Rule, "target", o.Instance, "version", o.Version,
+			"status", e.Status, "took", e.Duration, "err", e.Err)
+		return
+	}
+	d.log.Info("target ran a request", "request", o.ID, "rule", o.Rule, "target", o.Instance, "version", o.Version,
+		"status", e.Status, "took", e.Duration, "cut", e.Cut, "timedout", e.TimedOut, "err", e.Err)
+}
+
+// dependency logs that something that the daemon depends on was lost or is back.
+func (d *Daemon) dependency(name string, ok bool, err error) {
+	value, _ := d.reached.LoadOrStore(name, &atomic.Bool{})
+	before := value.(*atomic.Bool).Swap(ok)
+	switch {
+	case ok && !before:
+		d.log.Info("dependency reached", "dependency", name)
+	case !ok && before:
+		d.log.Warn("dependency lost", "dependency", name, "err", err)
+	}
+}
+
+func (d *Daemon) isReached(name string) bool {
+	value, ok := d.reached.Load(name)
+	return ok && value.(*atomic.Bool).Load()
+}
+
+// serveMetrics writes the counters as text.
+func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	counts := d.members.Counts()
+	metrics.GetOrRegisterGauge("member.live", d.metrics).Update(int64(counts.Live()))
+	if p := d.plan(); p != nil {
+		metrics.GetOrRegisterGauge("plan.version", d.metrics).Update(int64(p.Version))
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	metrics.WriteOnce(d.metrics, w)
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,390 @@
+// Package sidecar runs one daemon on its users' platform: it joins the cores to
+// sockets, timers and the platform's store.
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeebo/errs"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
+	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
+	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/follower"
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
+	"github.com/coltsfootlane/coltsfootlane/internal/linker"
+	"github.com/coltsfootlane/coltsfootlane/internal/loader"
+	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/prober"
+	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+	"github.com/coltsfootlane/coltsfootlane/internal/shifter"
+	"github.com/coltsfootlane/coltsfootlane/internal/spreader"
+	"github.com/coltsfootlane/coltsfootlane/internal/storer"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
+)
+
+// Class is the class of the errors of this package.
+var Class = errs.Class("sidecar")
+
+// Declared is what operators have declared.
+type Declared struct {
+	// Plan is nil while there is none.
+	Plan *matcher.Plan
+	// Orders holds the moves that are asked for, by service.
+	Orders map[string]shifter.Order
+	// Out holds the zones that are to get no requests.
+	Out map[string]bool
+}
+
+// Announcement is what a target says of itself.
+type Announcement struct {
+	// Instance identifies the target's start, with Born where names are used
+	// again.
+	Instance string
+	Born     time.Time
+	Service  string
+	Version  string
+	Slots    int
+	Draining bool
+	// Gone means that it leaves, and nothing else is said.
+	Gone bool
+	// Cold is how long it stays cold.
+	Cold time.Duration
+	// Sequence rises with each announcement of one start.
+	Sequence uint64
+}
+
+// Platform is what a daemon knows of the platform that it runs on.
+type Platform struct {
+	Store storer.Platform
+	// OperatorPrefix leads the keys of what operators declare, OutcomePrefix
+	// those of what became of their moves, and DaemonPrefix those of the
+	// daemons' addresses.
+	OperatorPrefix, OutcomePrefix, DaemonPrefix string
+	// Operator and Outcomes read the items under those prefixes; items that
+	// can't be read are left out and reported.
+	Operator func(items []storer.Item) (Declared, []error)
+	Outcomes func(items []storer.Item) (map[string]shifter.Outcome, []error)
+	// Outcome returns the item that says what became of a move.
+	Outcome func(o shifter.Outcome) (key string, value []byte, err error)
+	// ReadyPath is where the platform asks whether the daemon is ready, and
+	// ReportPath leads those of the target's announcements.
+	ReadyPath, ReportPath string
+	Report                func(r *http.Request) (Announcement, error)
+	// Client reads what a request says of its client.
+	Client func(h http.Header) (dispatcher.Client, error)
+	Codec  deliverer.Codec
+}
+
+// Options are what a daemon is made of.
+type Options struct {
+	Settings loader.Settings
+	Platform Platform
+	Clock    timekeeper.Clock
+	Log      *log.Logger
+}
+
+// Daemon is the process on one target's VM.
+type Daemon struct {
+	settings loader.Settings
+	sidecar  loader.Sidecar
+	platform Platform
+	clock    timekeeper.Clock
+	log      *log.Logger
+	metrics  metrics.Registry
+
+	operator, outcomes *follower.Follower
+	members            *prober.Table
+	prober             *prober.Prober
+	client             *linker.Client
+	control            *linker.Server
+	chooser            *chooser.Chooser
+	gate               *admitter.Gate
+	receiver           *receiver.Server
+	judge              shifter.Judge
+
+	// view is what requests are handled by.
+	view     atomic.Pointer[view]
+	building sync.Mutex
+	declared Declared
+	settled  map[string]shifter.Outcome
+	// heardOrder is when the order of a service, by its revision, was heard of.
+	heardOrder map[uint64]time.Time
+	// base holds the version that carries each service's requests, and spoilt
+	// those that were found to be bad.
+	base   map[string]string
+	spoilt map[shifter.Order]bool
+
+	announcing sync.Mutex
+	announced  announced
+	// ended holds the last sequence of starts that have said that they leave.
+	ended map[start]bool
+
+	// known holds control addresses by the daemon's name, also of daemons that
+	// are gone.
+	knownMu sync.Mutex
+	known   map[string]string
+
+	leaving atomic.Bool
+	left    atomic.Bool
+	reached sync.Map
+	probing chan struct{}
+	inbound *carrier.Server
+}
+
+// Connections and times of a daemon.
+const (
+	// peerConnections bounds the connections to one other daemon, and
+	// targetConnections those to the target.
+	peerConnections   = 64
+	targetConnections = 48
+	// peerDial and targetDial bound the making of a connection: it takes less
+	// than 3 ms, or a second more when a packet is lost.
+	peerDial   = 300 * time.Millisecond
+	targetDial = 300 * time.Millisecond
+	// peerIdle and targetIdle close connections that were not used. Targets
+	// close theirs after ten seconds.
+	peerIdle   = 20 * time.Second
+	targetIdle = 7 * time.Second
+	// controlTimeout bounds a call between daemons.
+	controlTimeout = time.Second
+	// memberCalls bounds the membership calls that are under way.
+	memberCalls = 64
+	// bodyMemory is the part of the memory that clients' bodies may take.
+	bodyMemory = 0.25
+)
+
+// New returns a daemon that has not started.
+func New(o Options) *Daemon {
+	s := o.Settings
+	d := &Daemon{
+		settings: s,
+		sidecar:  *s.Sidecar,
+		platform: o.Platform,
+		clock:    o.Clock,
+		log:      o.Log.With("vm", s.Name, "dc", s.DC),
+		metrics:  metrics.NewRegistry(),
+		members: prober.NewTable(prober.Member{
+			ID:          s.Name,
+			DC:          s.DC,
+			Admit:       s.Listen.Admit,
+			Control:     s.Listen.Control,
+			Incarnation: uint64(o.Clock.Now().UnixMilli()),
+		}),
+		client:     linker.NewClient(s.Key, controlTimeout),
+		control:    linker.NewServer(s.Key),
+		chooser:    chooser.New(o.Clock),
+		heardOrder: map[uint64]time.Time{},
+		base:       map[string]string{},
+		spoilt:     map[shifter.Order]bool{},
+		ended:      map[start]bool{},
+		known:      map[string]string{},
+		probing:    make(chan struct{}, memberCalls),
+	}
+	d.gate = &admitter.Gate{
+		Clock:  o.Clock,
+		Closed: d.closed,
+	}
+	d.prober = prober.New(prober.Options{
+		Table:  d.members,
+		Facts:  spreader.NewStore(o.Clock),
+		Clock:  o.Clock,
+		Seeds:  d.seeds,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Learnt: func(spreader.Fact) {},
+	})
+	d.operator = d.follow(o.Platform.OperatorPrefix, d.putOperator)
+	d.outcomes = d.follow(o.Platform.OutcomePrefix, d.putOutcomes)
+	d.receiver = d.newReceiver()
+	linker.Handle(d.control, memberMethod, d.answerMember)
+	linker.Handle(d.control, copyMethod, d.answerCopy)
+	return d
+}
+
+// newReceiver returns the server of clients' connections.
+func (d *Daemon) newReceiver() *receiver.Server {
+	deliver := d.newDeliverer()
+	peers := &carrier.Client{
+		Key: d.settings.Key,
+		Transport: forwarder.NewTransportWith(forwarder.TransportOptions{
+			Connections: peerConnections,
+			Dial:        peerDial,
+			Idle:        peerIdle,
+		}),
+		Silent: d.silent,
+	}
+	dispatch := &dispatcher.Dispatcher{
+		Daemon:  d.settings.Name,
+		Caller:  d.sidecar.Service,
+		Plan:    d.plan,
+		Pool:    d.pool,
+		Client:  d.platform.Client,
+		Send:    peers.Send,
+		Deliver: deliver.Deliver,
+		Chooser: d.chooser,
+		Budget: &dispatcher.Budget{
+			Ratio:   d.sidecar.RetryRatio,
+			Slack:   d.sidecar.RetrySlack,
+			Daemons: func() int { return d.members.Counts().Live() },
+		},
+		Clock:   d.clock,
+		Observe: d.observeRequest,
+	}
+	return &receiver.Server{
+		Handle:  dispatch.Handle,
+		Limits:  d.limits,
+		Refused: d.observeRefusal,
+		MaxHeld: int64(bodyMemory * float64(d.sidecar.Memory<<20)),
+	}
+}
+
+func (d *Daemon) newDeliverer() *deliverer.Deliverer {
+	deliver := &deliverer.Deliverer{
+		Target: d.sidecar.Target,
+		Gate:   d.gate,
+		Transport: forwarder.NewTransportWith(forwarder.TransportOptions{
+			Connections: targetConnections,
+			Dial:        targetDial,
+			Idle:        targetIdle,
+		}),
+		Codec:   d.platform.Codec,
+		Clock:   d.clock,
+		Screen:  func(*carrier.Order) (func(bool), error) { return nil, nil },
+		Observe: d.observeOrder,
+	}
+	d.inbound = &carrier.Server{
+		Key:     d.settings.Key,
+		Deliver: deliver.Deliver,
+		MaxBody: func() int64 { return d.limits().BodyBytes },
+	}
+	return deliver
+}
+
+// defaultLimits hold before a plan is known.
+var defaultLimits = receiver.Limits{
+	HeaderBytes:   16 << 10,
+	BodyBytes:     64 << 20,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   15 * time.Second,
+}
+
+// limits returns what clients may send.
+func (d *Daemon) limits() receiver.Limits {
+	p := d.plan()
+	if p == nil {
+		return defaultLimits
+	}
+	return receiver.Limits(p.Limits)
+}
+
+// Run serves until ctx ends and then shuts down gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	stopped, stop := context.WithCancel(context.Background())
+	defer stop()
+	failed := make(chan error, 1)
+	listeners := map[string]func(context.Context, net.Listener) error{
+		d.settings.Listen.Traffic:  d.receiver.Serve,
+		d.settings.Listen.Admit:    serveHTTP(d.inbound),
+		d.settings.Listen.Control:  d.control.Serve,
+		d.settings.Listen.Operator: serveHTTP(http.HandlerFunc(d.serveReport)),
+		d.sidecar.Ready:            serveHTTP(http.HandlerFunc(d.serveReady)),
+		d.sidecar.Metrics:          serveHTTP(http.HandlerFunc(d.serveMetrics)),
+	}
+	for address, serve := range listeners {
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			return Class.New("listen on %s: %w", address, err)
+		}
+		go func() {
+			if err := serve(stopped, ln); err != nil {
+				failed <- Class.New("serve %s: %w", address, err)
+			}
+		}()
+	}
+	for _, run := range []func(context.Context){d.operator.Run, d.outcomes.Run, d.gossip, d.register, d.learnFromPeers, d.keepMoves, d.watchTarget} {
+		go run(stopped)
+	}
+	d.log.Info("daemon started", "service", d.sidecar.Service, "traffic", d.settings.Listen.Traffic, "admit", d.settings.Listen.Admit)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	d.shutdown()
+	d.log.Info("daemon stopped")
+	return nil
+}
+
+// serveHTTP returns a function that serves a handler.
+func serveHTTP(h http.Handler) func(context.Context, net.Listener) error {
+	return func(ctx context.Context, ln net.Listener) error {
+		srv := &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: 5 * time.Second,
+			IdleTimeout:       time.Minute,
+		}
+		context.AfterFunc(ctx, func() { _ = srv.Close() })
+		if err := srv.Serve(ln); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	}
+}
+
+// Times of a shutdown.
+const (
+	// clientsTime is how long clients take to notice that the daemon is no
+	// longer ready: the platform asks once a second and takes it out after two
+	// misses.
+	clientsTime = 2700 * time.Millisecond
+	// quietTime is how long nothing may have been under way at the end.
+	quietTime = 250 * time.Millisecond
+	// killMargin is kept of the grace before the kill.
+	killMargin = 400 * time.Millisecond
+	// shutdownTick is how often the shutdown looks whether it is done.
+	shutdownTick = 50 * time.Millisecond
+)
+
+// shutdown says that the daemon is no longer ready, serves on while clients
+// move away, and then turns away what other daemons send.
+func (d *Daemon) shutdown() {
+	began := d.clock.Now()
+	end := began.Add(d.sidecar.Grace.Duration - killMargin)
+	d.leaving.Store(true)
+	d.receiver.Drain()
+	d.log.Info("stopping", "grace", d.sidecar.Grace.Duration)
+	time.Sleep(clientsTime)
+	d.leave()
+	var quietSince time.Time
+	for now := d.clock.Now(); now.Before(end); now = d.clock.Now() {
+		switch {
+		case d.receiver.Busy() > 0 || d.gate.Running() > 0:
+			quietSince = time.Time{}
+		case quietSince.IsZero():
+			quietSince = now
+		case now.Sub(quietSince) > quietTime:
+			d.receiver.CloseIdle()
+			return
+		}
+		time.Sleep(shutdownTick)
+	}
+	d.log.Warn("stopping with requests under way", "connections", d.receiver.Busy(), "running", d.gate.Running())
+}
+
+// serveReady tells the platform whether clients may be sent here.
+func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
+	if strings.TrimSuffix(r.URL.Path, "/") != d.platform.ReadyPath || d.leaving.Load() || d.plan() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -22,6 +22,9 @@
 	// ErrConflict means that the key's version was not the expected one;
 	// nothing was written.
 	ErrConflict = errors.New("version conflict")
+	// ErrCompacted means that the changes after a revision are no longer kept;
+	// a range read starts anew.
+	ErrCompacted = errors.New("history compacted")
 	// ErrLease means that the lease has lapsed or was never granted; nothing
 	// was written.
 	ErrLease = errors.New("lease lapsed")
@@ -35,6 +38,19 @@
 	Version uint64
 }
 
+// Change is a write of an item or the deletion of its key.
+type Change struct {
+	Item
+	Deleted bool
+}
+
+// Span is what a range read or a watch of a prefix returned. Every change up to
+// Revision is in it.
+type Span struct {
+	Changes  []Change
+	Revision uint64
+}
+
 // LeaseID names a granted lease; empty means no lease.
 type LeaseID string
 
@@ -54,6 +70,12 @@
 	// Watch waits until the key's version differs from the given one and
 	// returns the item, or returns it unchanged when the wait is over.
 	Watch func(ctx context.Context, key string, version uint64, wait time.Duration) (Item, error)
+	// Range reads all items whose keys begin with a prefix. It is nil where
+	// the service has no ranges.
+	Range func(ctx context.Context, prefix string) (Span, error)
+	// WatchPrefix waits for changes after a revision of keys that begin with a
+	// prefix. It is nil where the service has no ranges.
+	WatchPrefix func(ctx context.Context, prefix string, after uint64, wait time.Duration) (Span, error)
 	// Grant makes a lease that lapses after ttl unless kept alive.
 	Grant func(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease by its ttl.
