Join through looked-up daemons and tell members directly

Change: a join by one call, the own record told to all members up to 128, and readiness only once the others were looked up; the own zone is preferred by 20 ms and by the bytes of the body.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -23,10 +23,11 @@
 	// failurePenalty is what a target costs that fails every request: as much
 	// as a client loses that has to send again.
 	failurePenalty = 600 * time.Millisecond
-	// farPenalty is the cost of another zone: two crossings of a millisecond.
-	farPenalty = 2 * time.Millisecond
+	// farPenalty is the cost of another zone, whose links are dearer than the
+	// few milliseconds that they take.
+	farPenalty = 20 * time.Millisecond
 	// farBytePenalty is the cost of carrying a kilobyte to another zone.
-	farBytePenalty = 250 * time.Microsecond
+	farBytePenalty = time.Millisecond
 	// suspectPenalty puts a target that did not answer behind all others.
 	suspectPenalty = 10 * time.Second
 	// jitter is the part by which costs are varied, so that daemons that know
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/follower"
@@ -14,6 +16,7 @@
 // Methods of the calls between daemons.
 const (
 	memberMethod = "member"
+	joinMethod   = "join"
 	copyMethod   = "copy"
 )
 
@@ -89,8 +92,58 @@
 func (d *Daemon) leave() {
 	d.left.Store(true)
 	d.gate.Recheck()
-	d.members.Update(func(m prober.Member) prober.Member { return m.WithStatus(prober.Left) })
-	d.exchange(d.prober.Leave())
+	d.update(func(m prober.Member) prober.Member { return m.WithStatus(prober.Left) })
+}
+
+// maxDirect bounds the members that the daemon tells itself of what is new of
+// it; in larger fleets rumours carry it to the others.
+const maxDirect = 128
+
+// update says something new of the daemon, to the other members at once.
+func (d *Daemon) update(change func(prober.Member) prober.Member) {
+	self := d.members.Update(change)
+	d.tell(self)
+	d.refresh()
+}
+
+// tell tells the other members of the daemon.
+func (d *Daemon) tell(self prober.Member) {
+	message := prober.Message{
+		Kind:    prober.Push,
+		From:    self.ID,
+		DC:      self.DC,
+		Members: []prober.Member{self},
+	}
+	told := 0
+	for _, m := range d.members.All() {
+		if m.ID == self.ID || m.Status > prober.Suspect || told == maxDirect {
+			continue
+		}
+		told++
+		go d.exchangeOne(prober.Call{
+			To:      m.Control,
+			ID:      m.ID,
+			Message: message,
+		})
+	}
+}
+
+// answerJoin takes in a daemon that has started, and returns all members.
+func (d *Daemon) answerJoin(_ context.Context, m prober.Member) ([]prober.Member, error) {
+	d.members.Merge(m)
+	return d.members.All(), nil
+}
+
+// joinThrough takes over the members that another daemon knows.
+func (d *Daemon) joinThrough(ctx context.Context, address string) error {
+	var members []prober.Member
+	if err := d.client.Call(ctx, address, joinMethod, d.members.Self(), &members); err != nil {
+		return err
+	}
+	for _, m := range members {
+		d.members.Merge(m)
+	}
+	return nil
 }
 
 // silent takes a daemon that does not answer for one that can't be reached.
@@ -170,29 +223,51 @@
 	return lease, nil
 }
 
-// lookUp looks up the other daemons, and exchanges members at once with those
-// that are not known.
+// joinTries is the number of daemons that a look joins through.
+const joinTries = 3
+
+// lookUp looks up the other daemons, and joins through some that are not known.
 func (d *Daemon) lookUp(ctx context.Context) error {
 	span, err := d.platform.Store.Range(ctx, d.platform.DaemonPrefix)
 	if err != nil {
 		d.log.Warn("daemons not looked up", "err", err)
 		return err
 	}
+	found := map[string]string{}
 	for _, c := range span.Changes {
-		name, address := c.Key[len(d.platform.DaemonPrefix):], string(c.Value)
-		if name == d.settings.Name {
+		found[strings.TrimPrefix(c.Key, d.platform.DaemonPrefix)] = string(c.Value)
+	}
+	delete(found, d.settings.Name)
+	d.remember(found)
+	joined := 0
+	for name, address := range found {
+		if m, ok := d.members.Get(name); ok && m.Status <= prober.Suspect {
 			continue
 		}
-		if m, ok := d.members.Get(name); !ok || m.Status > prober.Suspect {
-			d.prober.Hint(address)
+		if err := d.joinThrough(ctx, address); err != nil {
+			d.log.Debug("daemon not reached", "peer", name, "err", err)
+			continue
 		}
-		d.knownMu.Lock()
-		d.known[name] = address
-		d.knownMu.Unlock()
+		if joined++; joined == joinTries {
+			break
+		}
+	}
+	if joined > 0 {
+		d.log.Info("joined", "found", len(found), "through", joined, "live", d.members.Counts().Live())
+		d.tell(d.members.Self())
+		d.refresh()
 	}
+	d.joined.Store(true)
 	return nil
 }
 
+// remember keeps the control addresses of other daemons.
+func (d *Daemon) remember(addresses map[string]string) {
+	d.knownMu.Lock()
+	defer d.knownMu.Unlock()
+	maps.Copy(d.known, addresses)
+}
+
 // copyQuestion asks another daemon for its copy of the records under a prefix if
 // that is newer than a revision.
 type copyQuestion struct {
@@ -223,7 +298,7 @@
 		}
 		if now := d.clock.Now(); now.After(recall) {
 			recall = now.Add(recallPeriod)
-			d.recallGone()
+			d.recallGone(ctx)
 		}
 	}
 }
@@ -255,19 +330,31 @@
 	}
 }
 
-// recallGone exchanges members with a daemon that was known and is gone.
-func (d *Daemon) recallGone() {
-	d.knownMu.Lock()
-	defer d.knownMu.Unlock()
+// recallGone joins with a daemon that was known and is gone: it may be back.
+func (d *Daemon) recallGone(ctx context.Context) {
+	live := map[string]string{}
 	for _, m := range d.members.All() {
 		if m.ID != d.settings.Name && m.Status <= prober.Suspect {
-			d.known[m.ID] = m.Control
+			live[m.ID] = m.Control
 		}
 	}
-	for name, address := range d.known {
-		if m, ok := d.members.Get(name); !ok || m.Status > prober.Suspect {
-			d.prober.Hint(address)
-			return
+	d.remember(live)
+	for name, address := range d.goneAddresses(live) {
+		if err := d.joinThrough(ctx, address); err == nil {
+			d.log.Info("daemon is back", "peer", name)
 		}
+		return
 	}
 }
+
+// goneAddresses returns the addresses of known daemons that are not live.
+func (d *Daemon) goneAddresses(live map[string]string) map[string]string {
+	d.knownMu.Lock()
+	defer d.knownMu.Unlock()
+	gone := maps.Clone(d.known)
+	maps.DeleteFunc(gone, func(name, _ string) bool {
+		_, ok := live[name]
+		return ok
+	})
+	return gone
+}
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -61,7 +61,6 @@
 		next := *self
 		next.Withdrawn = true
 		d.spread(&next)
-		d.exchange(d.prober.Leave())
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -136,6 +136,8 @@
 	knownMu sync.Mutex
 	known   map[string]string
 
+	// joined is set once the other daemons were looked up.
+	joined  atomic.Bool
 	leaving atomic.Bool
 	left    atomic.Bool
 	reached sync.Map
@@ -208,6 +210,7 @@
 	d.outcomes = d.follow(o.Platform.OutcomePrefix, d.putOutcomes)
 	d.receiver = d.newReceiver()
 	linker.Handle(d.control, memberMethod, d.answerMember)
+	linker.Handle(d.control, joinMethod, d.answerJoin)
 	linker.Handle(d.control, copyMethod, d.answerCopy)
 	return d
 }
@@ -384,7 +387,13 @@
 
 // serveReady tells the platform whether clients may be sent here.
 func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
-	if strings.TrimSuffix(r.URL.Path, "/") != d.platform.ReadyPath || d.leaving.Load() || d.plan() == nil {
+	if strings.TrimSuffix(r.URL.Path, "/") != d.platform.ReadyPath || d.leaving.Load() || !d.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
+
+// ready reports whether requests can be handled: a plan is known, and so are the
+// other daemons.
+func (d *Daemon) ready() bool {
+	return d.plan() != nil && (d.joined.Load() || d.members.Counts().Live() > 1)
+}
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -124,8 +124,7 @@
 	if known == next || (known != nil && next != nil && *known == *next) {
 		return
 	}
-	d.members.Update(func(m prober.Member) prober.Member { return m.WithTarget(next) })
-	d.refresh()
+	d.update(func(m prober.Member) prober.Member { return m.WithTarget(next) })
 }
 
 // defaultColdRate holds while no plan says what a cold target bears.
