Handle reloads, stop in time, keep budgets and judge by all answers

Cause: SIGHUP ended the process; a daemon took requests until the kill; a 500 that was tried again in vain became a 503 that said not run; repeats of requests that make calls passed the budget; a version that fails under load was found by each target alone; a reset connection passed for a restart and put the target back to its cold rate. Ruled out: the limiter's slots as the cause of the refusals (no leak).

--- a/cmd/coltsfootd/main.go
+++ b/cmd/coltsfootd/main.go
@@ -44,17 +44,17 @@
 		log.Error("settings refused", "err", err)
 		os.Exit(exitSettings)
 	}
-	if err := run(settings); err != nil {
+	if err := run(*path, settings); err != nil {
 		log.Error("daemon failed", "err", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func run(settings loader.Settings) error {
+func run(path string, settings loader.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	if settings.Sidecar != nil {
-		return runSidecar(ctx, settings)
+		return runSidecar(ctx, path, settings)
 	}
 	return server.New(server.Options{
 		Settings: settings,
@@ -65,19 +65,40 @@
 }
 
 // runSidecar serves on the users' platform.
-func runSidecar(ctx context.Context, settings loader.Settings) error {
+func runSidecar(ctx context.Context, path string, settings loader.Settings) error {
 	clock := timekeeper.System{}
 	out := narrator.New(os.Stdout)
 	defer out.Close()
 	logger := server.NewLog(out, settings.Log)
 	stdlog.SetOutput(io.Discard)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Sidecar.Memory<<20)))
-	return sidecar.New(sidecar.Options{
+	daemon := sidecar.New(sidecar.Options{
 		Settings: settings,
 		Platform: platform.Adapter(settings.Platform, settings.Patience.Duration),
 		Clock:    clock,
 		Log:      logger,
-	}).Run(ctx)
+	})
+	go reload(ctx, path, daemon, logger)
+	return daemon.Run(ctx)
+}
+
+// reload reads the settings again whenever the process is told to.
+func reload(ctx context.Context, path string, daemon *sidecar.Daemon, logger *log.Logger) {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGHUP)
+	for {
+		select {
+		case <-told:
+		case <-ctx.Done():
+			return
+		}
+		settings, err := loader.Load(path)
+		if err != nil {
+			logger.Error("settings refused; the former ones hold", "err", err)
+			continue
+		}
+		daemon.Reload(settings)
+	}
 }
 
 // memoryShare is the part of the process's memory at which garbage is collected
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -113,7 +113,8 @@
 	g.serveQueue()
 }
 
-// Doubt takes the target for cold until it announces itself again.
+// Doubt takes the target for cold until it announces itself again, as when it
+// takes no connection: it may have been started anew.
 func (g *Gate) Doubt() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -151,7 +152,7 @@
 		l.Slots = g.target.Slots
 	}
 	if wait := g.coldWait(g.Clock.Now()); wait > 0 {
-		l.Wait = wait * time.Duration(1+len(g.queue))
+		l.Wait = wait + time.Duration(float64(len(g.queue))*float64(time.Second)/g.coldRate())
 	}
 	return l
 }
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -39,8 +39,10 @@
 	// Screen looks at an order that is about to be handed over and may refuse
 	// it; done, if not nil, is called when it has ended.
 	Screen func(o *carrier.Order) (done func(crashed bool), err error)
-	// Observe is told how each order that was handed over has ended.
+	// Observe is told how each order that was handed over has ended, and Refused
+	// of each that the gate refused.
 	Observe func(o *carrier.Order, e Ending)
+	Refused func(o *carrier.Order, f *carrier.Failure)
 }
 
 // Ending is how an order that was handed over has ended.
@@ -81,7 +83,9 @@
 		Wait:     o.Wait,
 	})
 	if err != nil {
-		return nil, d.refusal(o, err)
+		f := d.refusal(o, err)
+		d.Refused(o, f)
+		return nil, f
 	}
 	answer, ending := d.run(ctx, o)
 	d.Gate.Leave(o.Rule, admitter.Outcome{
@@ -129,9 +133,9 @@
 		return nil, Ending{Err: err, Cut: true}
 	}
 	carrier.Started(ctx)
-	var reused atomic.Bool
+	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	resp, err := forwarder.RoundTrip(d.Transport, d.request(traced, o))
 	var answer *carrier.Answer
@@ -147,12 +151,11 @@
 	if answer != nil {
 		ending.Status = answer.Status
 	}
-	crashed := err != nil && ctx.Err() == nil && broken(err)
-	if crashed && !reused.Load() {
+	if err != nil && ctx.Err() == nil && !connected.Load() {
 		d.Gate.Doubt()
 	}
 	if done != nil {
-		done(crashed)
+		done(err != nil && ctx.Err() == nil && broken(err))
 	}
 	return answer, ending
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -125,6 +125,8 @@
 	pause time.Duration
 	// worst is the failure that promises least.
 	worst error
+	// failure is a target's answer that says that it has failed the request.
+	failure *carrier.Answer
 }
 
 // Handle answers one request.
@@ -135,6 +137,9 @@
 		busy:    map[string]bool{},
 	}
 	answer, err := d.handle(ctx, c)
+	if err != nil && c.failure != nil {
+		answer, err = c.failure, nil
+	}
 	var resp *receiver.Response
 	switch {
 	case err == nil:
@@ -373,7 +378,8 @@
 	if a.Status < http.StatusInternalServerError || a.Status == http.StatusGatewayTimeout || c.rule.Kind != matcher.Idempotent {
 		return false
 	}
-	return d.affordable(c)
+	c.failure = a
+	return d.affordable(c, ranCost)
 }
 
 // mayRepeat reports whether a request that was not answered may be sent again.
@@ -381,22 +387,26 @@
 	if classifier.Of(err) != classifier.NotRun && c.rule.Kind != matcher.Idempotent {
 		return false
 	}
-	if c.arrivals == 0 {
+	switch {
+	case c.arrivals == 0:
 		return true
+	case classifier.Of(err) == classifier.NotRun:
+		return d.affordable(c, notRunCost)
+	default:
+		return d.affordable(c, ranCost)
 	}
-	return d.affordable(c)
 }
 
 // affordable takes a repeat from the budget if the request may reach one more
 // target and has time left for it.
-func (d *Dispatcher) affordable(c *call) bool {
+func (d *Dispatcher) affordable(c *call, cost float64) bool {
 	if c.arrivals >= c.rule.Attempts {
 		return false
 	}
 	if d.Clock.Now().Add(d.Chooser.Expected(c.rule.Name) / 2).After(c.deadline) {
 		return false
 	}
-	return d.Budget.Spend(c.service)
+	return d.Budget.Spend(c.service, cost)
 }
 
 // failed notes a failure and returns the one of the request that promises
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -111,6 +111,17 @@
 	return nil, false
 }
 
+// LongestTimeout returns the longest time-out of a rule.
+func (p *Plan) LongestTimeout() time.Duration {
+	var longest time.Duration
+	for _, rules := range p.hosts {
+		for _, r := range rules {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // Splitter deals a rule's requests out to its parts so that, at any moment,
 // each part's count is within one of its share. It is not safe for concurrent
 // use.
--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -75,6 +75,10 @@
 	Instance string `json:"instance,omitempty"`
 	// Withdrawn means that its daemon has found its version to be bad.
 	Withdrawn bool `json:"withdrawn,omitempty"`
+	// Calls and Faults count the answers, and the failures among them, since
+	// its version is being moved to; they are told with each failure.
+	Calls  int `json:"calls,omitempty"`
+	Faults int `json:"faults,omitempty"`
 }
 
 // WithStatus returns a copy of m with another status.
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -119,6 +119,9 @@
 		if err := c.awaitByte(); err != nil {
 			return c.ended(err)
 		}
+		if c.server.stopped.Load() {
+			return false
+		}
 		r, status, err := c.readRequest()
 		if status == 0 && err != nil {
 			return true
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -54,9 +54,11 @@
 	// Refused is told of each request that could not be read.
 	Refused func(status int, err error)
 
-	draining atomic.Bool
-	mu       sync.Mutex
-	open     map[*connection]bool
+	draining, stopped atomic.Bool
+
+	mu        sync.Mutex
+	listeners map[net.Listener]bool
+	open      map[*connection]bool
 	// held is the number of body bytes in memory.
 	held atomic.Int64
 	// MaxHeld bounds the body bytes that are held for all connections.
@@ -67,10 +69,11 @@
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
+	s.listen(ln)
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || s.stopped.Load() {
 				return nil
 			}
 			if !temporary(err) {
@@ -105,10 +108,15 @@
 	return busy
 }
 
-// CloseIdle closes the connections on which no answer is due.
-func (s *Server) CloseIdle() {
+// Stop takes no further connection or request: those that were read are
+// answered, and the others are closed unread.
+func (s *Server) Stop() {
+	s.stopped.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for ln := range s.listeners {
+		_ = ln.Close()
+	}
 	for c := range s.open {
 		if c.pending() == 0 {
 			_ = c.conn.Close()
@@ -116,6 +124,15 @@
 	}
 }
 
+func (s *Server) listen(ln net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listeners == nil {
+		s.listeners = map[net.Listener]bool{}
+	}
+	s.listeners[ln] = true
+}
+
 func (s *Server) add(c *connection) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -32,6 +32,23 @@
 	Usual time.Duration
 }
 
+// Pool is the answers that all targets of a version have told of.
+type Pool struct {
+	Calls, Faults int
+}
+
+// Thresholds of a verdict on the answers of all targets of a version.
+const (
+	minPoolFaults  = 5
+	poolFaultShare = 0.04
+)
+
+// Bad reports whether the version fails too many requests. Failing is the share
+// of failures among the former version's answers.
+func (p Pool) Bad(failing float64) bool {
+	return p.Faults >= minPoolFaults && float64(p.Faults) >= max(poolFaultShare, othersFactor*failing)*float64(p.Calls)
+}
+
 // count is the answers of one rule.
 type count struct {
 	calls, failures, slow float64
@@ -43,6 +60,7 @@
 	mu     sync.Mutex
 	order  Order
 	counts map[string]*count
+	total  Pool
 	bad    bool
 }
 
@@ -54,6 +72,7 @@
 	if j.order != o || j.counts == nil {
 		j.order = o
 		j.counts = map[string]*count{}
+		j.total = Pool{}
 		j.bad = false
 	}
 	c, ok := j.counts[a.Rule]
@@ -62,6 +81,10 @@
 		j.counts[a.Rule] = c
 	}
 	c.add(a)
+	j.total.Calls++
+	if a.Failed {
+		j.total.Faults++
+	}
 	j.bad = j.bad || c.bad(failing)
 	return j.bad
 }
@@ -73,6 +96,16 @@
 	return j.bad && j.order == o
 }
 
+// Total returns the counts of an order.
+func (j *Judge) Total(o Order) Pool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.order != o {
+		return Pool{}
+	}
+	return j.total
+}
+
 func (c *count) add(a Answer) {
 	if c.calls >= memory {
 		c.calls /= 2
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 	"github.com/coltsfootlane/coltsfootlane/internal/ranker"
@@ -44,12 +45,40 @@
 		a.Duration = 0
 	}
 	if !d.judge.Add(*s.order, a, d.chooser.Failing(s.targets)) {
+		if a.Failed {
+			d.tellFault(*s.order)
+		}
 		return
 	}
 	d.log.Warn("version found bad", "service", o.Service, "version", o.Version, "rule", o.Rule, "request", o.ID)
 	go d.withdraw(*s.order)
 }
 
+// tellFault tells the others how many answers of the own target were failures.
+func (d *Daemon) tellFault(o shifter.Order) {
+	self := d.members.Self().Target
+	if self == nil || self.Version != o.Version {
+		return
+	}
+	next := *self
+	total := d.judge.Total(o)
+	next.Calls, next.Faults = total.Calls, total.Faults
+	d.spread(&next)
+}
+
+// pooledBad reports whether the targets of an order's version have together
+// failed too many requests.
+func (d *Daemon) pooledBad(o shifter.Order, members []prober.Member, targets []chooser.Target) bool {
+	var pool shifter.Pool
+	for _, m := range members {
+		if m.Target.Version == o.Version {
+			pool.Calls += m.Target.Calls
+			pool.Faults += m.Target.Faults
+		}
+	}
+	return pool.Bad(d.chooser.Failing(targets))
+}
+
 // withdraw stops the requests to an order's version here, and tells the others.
 func (d *Daemon) withdraw(o shifter.Order) {
 	d.building.Lock()
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -5,13 +5,24 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 )
 
+// setLevel sets the least level that is logged.
+func (d *Daemon) setLevel(s loader.Log) {
+	level, err := log.ParseLevel(s.Level)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	d.log.SetLevel(level)
+}
+
 func (d *Daemon) count(name string) {
 	metrics.GetOrRegisterCounter(name, d.metrics).Inc(1)
 }
@@ -56,6 +67,14 @@
 		"status", e.Status, "took", e.Duration, "cut", e.Cut, "timedout", e.TimedOut, "err", e.Err)
 }
 
+// observeRefused counts and logs an order that was refused here before it
+// reached the target.
+func (d *Daemon) observeRefused(o *carrier.Order, f *carrier.Failure) {
+	d.count("order.refused")
+	d.log.Info("order refused", "request", o.ID, "rule", o.Rule, "target", o.Instance, "left", time.Until(o.Deadline), "wait", o.Wait,
+		"running", f.Load.Running, "queued", f.Load.Queued, "slots", f.Load.Slots, "work", f.Load.Work, "cold", f.Load.Wait, "reason", f.Reason)
+}
+
 // dependency logs that something that the daemon depends on was lost or is back.
 func (d *Daemon) dependency(name string, ok bool, err error) {
 	value, _ := d.reached.LoadOrStore(name, &atomic.Bool{})
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -113,6 +113,7 @@
 	gate               *admitter.Gate
 	receiver           *receiver.Server
 	judge              shifter.Judge
+	budget             *dispatcher.Budget
 
 	// view is what requests are handled by.
 	view     atomic.Pointer[view]
@@ -194,6 +195,10 @@
 		known:      map[string]string{},
 		probing:    make(chan struct{}, memberCalls),
 	}
+	d.budget = &dispatcher.Budget{
+		Daemons: func() int { return d.members.Counts().Live() },
+	}
+	d.budget.Set(s.Sidecar.RetryRatio, s.Sidecar.RetrySlack)
 	d.gate = &admitter.Gate{
 		Clock:  o.Clock,
 		Closed: d.closed,
@@ -236,11 +241,7 @@
 		Send:    peers.Send,
 		Deliver: deliver.Deliver,
 		Chooser: d.chooser,
-		Budget: &dispatcher.Budget{
-			Ratio:   d.sidecar.RetryRatio,
-			Slack:   d.sidecar.RetrySlack,
-			Daemons: func() int { return d.members.Counts().Live() },
-		},
+		Budget:  d.budget,
 		Clock:   d.clock,
 		Observe: d.observeRequest,
 	}
@@ -265,6 +266,7 @@
 		Clock:   d.clock,
 		Screen:  func(*carrier.Order) (func(bool), error) { return nil, nil },
 		Observe: d.observeOrder,
+		Refused: d.observeRefused,
 	}
 	d.inbound = &carrier.Server{
 		Key:     d.settings.Key,
@@ -353,6 +355,9 @@
 	clientsTime = 2700 * time.Millisecond
 	// quietTime is how long nothing may have been under way at the end.
 	quietTime = 250 * time.Millisecond
+	// defaultTimeout stands for the longest time-out of a rule before a plan is
+	// known.
+	defaultTimeout = time.Second
 	// killMargin is kept of the grace before the kill.
 	killMargin = 400 * time.Millisecond
 	// shutdownTick is how often the shutdown looks whether it is done.
@@ -369,6 +374,7 @@
 	d.log.Info("stopping", "grace", d.sidecar.Grace.Duration)
 	time.Sleep(clientsTime)
 	d.leave()
+	last := end.Add(-d.longestTimeout())
 	var quietSince time.Time
 	for now := d.clock.Now(); now.Before(end); now = d.clock.Now() {
 		switch {
@@ -377,14 +383,26 @@
 		case quietSince.IsZero():
 			quietSince = now
 		case now.Sub(quietSince) > quietTime:
-			d.receiver.CloseIdle()
+			d.receiver.Stop()
 			return
 		}
+		if now.After(last) {
+			d.receiver.Stop()
+		}
 		time.Sleep(shutdownTick)
 	}
 	d.log.Warn("stopping with requests under way", "connections", d.receiver.Busy(), "running", d.gate.Running())
 }
 
+// longestTimeout returns the longest time that a request may take.
+func (d *Daemon) longestTimeout() time.Duration {
+	p := d.plan()
+	if p == nil {
+		return defaultTimeout
+	}
+	return p.LongestTimeout()
+}
+
 // serveReady tells the platform whether clients may be sent here.
 func (d *Daemon) serveReady(w http.ResponseWriter, r *http.Request) {
 	if strings.TrimSuffix(r.URL.Path, "/") != d.platform.ReadyPath || d.leaving.Load() || !d.ready() {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -115,6 +115,9 @@
 		Instance:  a.Instance,
 		Withdrawn: d.withdrawn(a.Service, a.Version),
 	}
+	if known := d.members.Self().Target; known != nil && known.Instance == next.Instance {
+		next.Calls, next.Faults = known.Calls, known.Faults
+	}
 	d.spread(&next)
 }
 
