--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -207,7 +207,7 @@
 		}
 		return nil, ErrBusy
 	}
-	if len(g.queue) >= maxQueue*g.target.Slots || now.Add(g.expectedWait(a, cold)+g.expected(a.Rule)).After(a.Deadline) {
+	if now.Add(g.expectedWait(a, cold) + g.expected(a.Rule)).After(a.Deadline) || !g.makeRoom(a) {
 		return nil, ErrBusy
 	}
 	w := &waiter{
@@ -234,6 +234,21 @@
 	return nil
 }
 
+// makeRoom reports whether there is room in the queue, and makes some by
+// refusing the last waiter if that ranks lower.
+func (g *Gate) makeRoom(a Ask) bool {
+	if len(g.queue) < maxQueue*g.target.Slots {
+		return true
+	}
+	last := g.queue[len(g.queue)-1]
+	if last.ask.Rank <= a.Rank {
+		return false
+	}
+	g.queue = g.queue[:len(g.queue)-1]
+	last.granted <- ErrBusy
+	return true
+}
+
 // insert queues a waiter behind those of its rank.
 func (g *Gate) insert(w *waiter) {
 	i := len(g.queue)
@@ -247,15 +262,17 @@
 
 // expectedWait estimates how long a request would queue.
 func (g *Gate) expectedWait(a Ask, cold time.Duration) time.Duration {
-	ahead := 1
+	ahead := 0
+	work := g.expected(a.Rule)
 	for _, w := range g.queue {
 		if w.ask.Rank <= a.Rank {
 			ahead++
+			work += g.expected(w.ask.Rule)
 		}
 	}
-	wait := g.expected(a.Rule) * time.Duration(ahead) / time.Duration(max(1, g.target.Slots))
+	wait := work / time.Duration(max(1, g.target.Slots))
 	if g.cold(g.Clock.Now()) {
-		wait = max(wait, cold+time.Duration(float64(ahead-1)*float64(time.Second)/g.coldRate()))
+		wait = max(wait, cold+time.Duration(float64(ahead)*float64(time.Second)/g.coldRate()))
 	}
 	return wait
 }
