--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -207,7 +207,7 @@
 		}
 		return nil, ErrBusy
 	}
-	if now.Add(g.expectedWait(a, cold) + g.expected(a.Rule)).After(a.Deadline) || !g.makeRoom(a) {
+	if now.Add(g.expectedWait(a, cold)+g.expected(a.Rule)).After(a.Deadline) || !g.makeRoom(a) {
 		return nil, ErrBusy
 	}
 	w := &waiter{
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -56,7 +56,7 @@
 const (
 	firstPart  = 0.55
 	rampPart   = 0.12
-	firstShare = 0.05
+	firstShare = 0.03
 )
 
 // settleTime is the time from the last step until the outcome: the longest that
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
@@ -23,6 +24,8 @@
 	standInTime = 500 * time.Millisecond
 	// keepers is the number of daemons that may write an outcome.
 	keepers = 4
+	// minTold is the number of answers below which only failures are told.
+	minTold = 8
 )
 
 // judgeOrder counts an answer of the own target during a move.
@@ -37,7 +40,7 @@
 	}
 	a := shifter.Answer{
 		Rule:     o.Rule,
-		Failed:   e.Bad(),
+		Failed:   e.Bad() && e.Status != http.StatusGatewayTimeout,
 		Duration: e.Duration,
 		Usual:    d.chooser.Expected(o.Rule),
 	}
@@ -45,23 +48,22 @@
 		a.Duration = 0
 	}
 	if !d.judge.Add(*s.order, a, d.chooser.Failing(s.targets)) {
-		if a.Failed {
-			d.tellFault(*s.order)
-		}
+		d.tellCounts(*s.order, a.Failed)
 		return
 	}
 	d.log.Warn("version found bad", "service", o.Service, "version", o.Version, "rule", o.Rule, "request", o.ID)
 	go d.withdraw(*s.order)
 }
 
-// tellFault tells the others how many answers of the own target were failures.
-func (d *Daemon) tellFault(o shifter.Order) {
+// tellCounts tells the others how many answers of the own target were failures:
+// with each failure, and whenever the answers have doubled.
+func (d *Daemon) tellCounts(o shifter.Order, failed bool) {
 	self := d.members.Self().Target
-	if self == nil || self.Version != o.Version {
+	total := d.judge.Total(o)
+	if self == nil || self.Version != o.Version || (!failed && total.Calls < 2*max(minTold, self.Calls)) {
 		return
 	}
 	next := *self
-	total := d.judge.Total(o)
 	next.Calls, next.Faults = total.Calls, total.Faults
 	d.spread(&next)
 }
