Judge moves by all answers at once; queue only what is in time

Cause: the daemon that found a version bad told nobody, and others compared it with former targets that were shedding; requests that targets turned away taught a service time of a millisecond, so that shedding targets were liked best and good versions passed for slow; a standing queue made every answer late; a body went to another zone before the target had a slot for it. Change: withdrawals are told to all members; failures are held against a Poisson bound of the former version's; turned-away requests teach nothing; a queue that has stood for 250 ms refuses what would be late; a request waits for as long as the next best target is worse; the body of a request that may run once is sent when asked for, so that a silent daemon has not run it.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -35,6 +35,9 @@
 	coldWindow = time.Second
 	// maxQueue bounds the requests that wait, in multiples of the slots.
 	maxQueue = 4
+	// burstTime is how long a queue may stand before requests that it would make
+	// late are refused: a burst of arrivals is shorter than a few service times.
+	burstTime = 250 * time.Millisecond
 	// shortestRun is the part of a rule's mean service time below which a
 	// request is not worth handing over.
 	shortestRun = 0.4
@@ -69,8 +72,10 @@
 	Rank int
 	// Deadline is when the answer is no longer of use.
 	Deadline time.Time
-	// Wait lets the request queue for a slot.
-	Wait bool
+	// Objective is when the answer is no longer of full use.
+	Objective time.Time
+	// Patience is how long the request may queue for a slot.
+	Patience time.Duration
 }
 
 // Gate guards one target. It is safe for concurrent use.
@@ -90,8 +95,12 @@
 	queue     []*waiter
 	sent      []time.Time
 	work      map[string]time.Duration
-	failing   float64
-	timer     *time.Timer
+	// failing is the share of requests that ended badly, and faulty that among
+	// those that the target has run.
+	failing, faulty float64
+	// emptyAt is when the queue was last empty.
+	emptyAt time.Time
+	timer   *time.Timer
 }
 
 type waiter struct {
@@ -104,7 +113,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.target == nil || g.target.Instance != t.Instance {
-		g.failing = 0
+		g.failing, g.faulty = 0, 0
 		g.sent = nil
 	}
 	g.target = &t
@@ -147,6 +156,7 @@
 		Queued:  len(g.queue),
 		Work:    g.work[rule],
 		Failing: g.failing,
+		Faulty:  g.faulty,
 	}
 	if g.target != nil {
 		l.Slots = g.target.Slots
@@ -201,13 +211,16 @@
 		return nil, nil
 	}
 	cold := g.coldWait(now)
-	if !a.Wait {
-		if cold > 0 && g.running < g.target.Slots {
-			return nil, ErrCold
-		}
+	wait := g.expectedWait(a, cold)
+	answered := now.Add(wait + g.expected(a.Rule))
+	switch {
+	case wait > a.Patience && cold > 0 && g.running < g.target.Slots:
+		return nil, ErrCold
+	case wait > a.Patience, answered.After(a.Deadline):
 		return nil, ErrBusy
-	}
-	if now.Add(g.expectedWait(a, cold)+g.expected(a.Rule)).After(a.Deadline) || !g.makeRoom(a) {
+	case g.standing(now) && answered.After(a.Objective):
+		return nil, ErrBusy
+	case !g.makeRoom(a):
 		return nil, ErrBusy
 	}
 	w := &waiter{
@@ -234,6 +247,15 @@
 	return nil
 }
 
+// standing reports whether requests have been waiting for so long that the queue
+// is no burst: one that lasts only makes every answer late.
+func (g *Gate) standing(now time.Time) bool {
+	if len(g.queue) == 0 {
+		g.emptyAt = now
+	}
+	return now.Sub(g.emptyAt) > burstTime
+}
+
 // makeRoom reports whether there is room in the queue, and makes some by
 // refusing the last waiter if that ranks lower.
 func (g *Gate) makeRoom(a Ask) bool {
@@ -343,6 +365,9 @@
 	}
 	clear(g.queue[len(kept):])
 	g.queue = kept
+	if len(kept) == 0 {
+		g.emptyAt = now
+	}
 	g.setTimer(now)
 }
 
@@ -381,8 +406,9 @@
 // Outcome is how a request at the target ended.
 type Outcome struct {
 	Duration time.Duration
-	// Failed means that the target failed it.
-	Failed bool
+	// Failed means that the target failed it, and TurnedAway that it did not run
+	// it.
+	Failed, TurnedAway bool
 	// Cut means that it was broken off, so that Duration is a lower bound.
 	Cut bool
 }
@@ -403,8 +429,14 @@
 		g.work = map[string]time.Duration{}
 	}
 	g.failing -= failingShare * g.failing
+	if o.TurnedAway {
+		g.failing += failingShare
+		return
+	}
+	g.faulty -= failingShare * g.faulty
 	if o.Failed {
 		g.failing += failingShare
+		g.faulty += failingShare
 		return
 	}
 	mean, known := g.work[rule]
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -45,6 +45,8 @@
 		Rule:     "status",
 		Rank:     2,
 		Deadline: r.clock.Now().Add(time.Second),
+		// Objectives are far off where a test isn't about them.
+		Objective: r.clock.Now().Add(time.Hour),
 	}
 }
 
@@ -53,7 +55,7 @@
 // queue lets a request wait and returns where its answer comes.
 func (r *rig) queue(t *testing.T, a admitter.Ask) chan error {
 	t.Helper()
-	a.Wait = true
+	a.Patience = time.Hour
 	queued := r.Load("").Queued
 	answer := make(chan error, 1)
 	go func() { answer <- r.enter(a) }()
@@ -83,7 +85,7 @@
 		"closed":           {target: target(), closed: true, want: admitter.ErrClosed},
 		"busy":             {target: target(), busy: 2, want: admitter.ErrBusy},
 		"too little time":  {target: target(), change: func(a *admitter.Ask) { a.Deadline = a.Deadline.Add(-990 * time.Millisecond) }, want: admitter.ErrShort},
-		"no time to queue": {target: target(), busy: 2, change: func(a *admitter.Ask) { a.Wait = true; a.Deadline = a.Deadline.Add(-930 * time.Millisecond) }, want: admitter.ErrBusy},
+		"no time to queue": {target: target(), busy: 2, change: func(a *admitter.Ask) { a.Patience = time.Hour; a.Deadline = a.Deadline.Add(-930 * time.Millisecond) }, want: admitter.ErrBusy},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(test.target)
@@ -244,13 +246,13 @@
 		low = append(low, r.queue(t, long))
 	}
 	full := long
-	full.Wait = true
+	full.Patience = time.Hour
 	if err := r.enter(full); !errors.Is(err, admitter.ErrBusy) {
 		t.Fatalf("full: %v", err)
 	}
 	urgent := long
 	urgent.Rank = 1
-	urgent.Wait = true
+	urgent.Patience = time.Hour
 	high := make(chan error, 1)
 	go func() { high <- r.enter(urgent) }()
 	if err := <-low[7]; !errors.Is(err, admitter.ErrBusy) {
@@ -270,7 +272,7 @@
 		}
 	}
 	a := r.ask()
-	a.Wait = true
+	a.Patience = time.Hour
 	ctx, cancel := context.WithCancel(context.Background())
 	answer := make(chan error, 1)
 	go func() { answer <- r.Enter(ctx, a) }()
@@ -285,3 +287,70 @@
 		t.Errorf("%d queued", n)
 	}
 }
+
+// TestStandingQueueRefusesTheLate lets a burst queue, but not for long.
+func TestStandingQueueRefusesTheLate(t *testing.T) {
+	r := newRig(target())
+	for range 2 {
+		if err := r.enter(r.ask()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	late := r.ask()
+	late.Deadline = r.clock.Now().Add(time.Minute)
+	late.Objective = r.clock.Now().Add(50 * time.Millisecond)
+	r.queue(t, late)
+	r.queue(t, late)
+	r.clock.Advance(300 * time.Millisecond)
+	late.Objective = r.clock.Now().Add(50 * time.Millisecond)
+	late.Patience = time.Hour
+	if err := r.enter(late); !errors.Is(err, admitter.ErrBusy) {
+		t.Errorf("late in a standing queue: %v", err)
+	}
+	timely := late
+	timely.Objective = r.clock.Now().Add(time.Second)
+	r.queue(t, timely)
+	if n := r.Load("").Queued; n != 3 {
+		t.Errorf("%d queued, want 3", n)
+	}
+}
+
+// TestPatience refuses a request that would wait for longer than is worth it.
+func TestPatience(t *testing.T) {
+	r := newRig(target())
+	for range 2 {
+		if err := r.enter(r.ask()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a := r.ask()
+	a.Patience = 5 * time.Millisecond
+	if err := r.enter(a); !errors.Is(err, admitter.ErrBusy) {
+		t.Errorf("impatient: %v", err)
+	}
+	a.Patience = 100 * time.Millisecond
+	go func() { _ = r.enter(a) }()
+	for r.Load("").Queued == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestTurnedAwayTeachesNoServiceTime covers a target that sheds at once: it must
+// not look fast.
+func TestTurnedAwayTeachesNoServiceTime(t *testing.T) {
+	r := newRig(target())
+	if err := r.enter(r.ask()); err != nil {
+		t.Fatal(err)
+	}
+	r.Leave("status", admitter.Outcome{Duration: 100 * time.Millisecond})
+	for range 20 {
+		if err := r.enter(r.ask()); err != nil {
+			t.Fatal(err)
+		}
+		r.Leave("status", admitter.Outcome{Duration: time.Millisecond, TurnedAway: true})
+	}
+	l := r.Load("status")
+	if l.Work != 100*time.Millisecond || l.Failing < 0.5 || l.Faulty != 0 {
+		t.Errorf("%+v", l)
+	}
+}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -28,8 +28,10 @@
 	Caller string
 	// Deadline is when the answer is no longer of use.
 	Deadline time.Time
-	// Wait lets the request queue at the target's VM.
-	Wait bool
+	// Objective is when the answer is no longer of full use.
+	Objective time.Time
+	// Patience is how long the request may queue at the target's VM.
+	Patience time.Duration
 
 	Method string
 	// URI is the path with its query.
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -24,7 +24,7 @@
 	// or that it has queued it.
 	silence = 150 * time.Millisecond
 	// expectBytes is the size from which a body is sent only once it is asked
-	// for, so that a refusal doesn't carry it to another zone.
+	// for.
 	expectBytes = 8 << 10
 )
 
@@ -47,12 +47,13 @@
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	var heard atomic.Bool
+	r, body := c.request(address, o)
 	watch := time.AfterFunc(silence, func() {
 		if heard.Load() {
 			return
 		}
 		c.Silent(address)
-		if o.Kind == matcher.Idempotent {
+		if o.Kind == matcher.Idempotent || !body.Begun() {
 			giveUp(errSilent)
 		}
 	})
@@ -63,42 +64,57 @@
 			return nil
 		},
 	})
-	resp, err := forwarder.RoundTrip(c.Transport, c.request(ctx, address, o))
+	resp, err := forwarder.RoundTrip(c.Transport, r.WithContext(ctx))
 	if err != nil {
-		return nil, c.failed(ctx, err)
+		return nil, c.failed(ctx, err, held(o) && !body.Begun())
 	}
 	heard.Store(true)
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return nil, c.failed(ctx, classifier.Fail(classifier.MayHaveRun, "answer broke off between daemons", err))
+		return nil, c.failed(ctx, classifier.Fail(classifier.MayHaveRun, "answer broke off between daemons", err), false)
 	}
-	return readAnswer(resp, body)
+	return readAnswer(resp, data)
 }
 
-func (c *Client) failed(ctx context.Context, err error) error {
+// held reports whether an order's body is sent only once it is asked for: a
+// large one, so that a refusal doesn't carry it to another zone, and that of an
+// order that may run only once, which has not run while it was not asked for.
+func held(o *Order) bool {
+	return len(o.Body) >= expectBytes || (o.Kind == matcher.Once && len(o.Body) > 0)
+}
+
+// failed returns the failure of a send. Without its body the order has not run.
+func (c *Client) failed(ctx context.Context, err error, withoutBody bool) error {
 	f := Fail(err)
+	verdict, reason := f.Verdict, f.Reason
+	if withoutBody {
+		verdict = classifier.NotRun
+	}
 	if context.Cause(ctx) == errSilent {
-		f.Failure = classifier.Fail(f.Verdict, "daemon of the target silent", err)
+		reason = "daemon of the target silent"
+	}
+	return &Failure{
+		Failure: classifier.Fail(verdict, reason, err),
+		Arrived: verdict != classifier.NotRun,
 	}
-	return f
 }
 
-func (c *Client) request(ctx context.Context, address string, o *Order) *http.Request {
+func (c *Client) request(address string, o *Order) (*http.Request, *forwarder.Body) {
 	h := forwarder.Carried(o.Header)
 	o.write(h, c.Key)
-	r := &http.Request{
+	if held(o) {
+		h.Set("Expect", "100-continue")
+	}
+	body := forwarder.NewBody(o.Body)
+	return &http.Request{
 		Method:        o.Method,
 		URL:           o.URL(address),
 		Host:          o.Host,
 		Header:        h,
-		Body:          forwarder.NewBody(o.Body),
+		Body:          body,
 		ContentLength: int64(len(o.Body)),
-	}
-	if len(o.Body) >= expectBytes {
-		h.Set("Expect", "100-continue")
-	}
-	return r.WithContext(ctx)
+	}, body
 }
 
 // URL returns the URL that carries the order's path, byte for byte, to an
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -19,13 +19,15 @@
 	kindHeader     = "Coltsfoot-Kind"
 	rankHeader     = "Coltsfoot-Rank"
 	callerHeader   = "Coltsfoot-Caller"
-	waitHeader     = "Coltsfoot-Wait"
+	patienceHeader = "Coltsfoot-Patience"
 	leftHeader     = "Coltsfoot-Left"
+	usefulHeader   = "Coltsfoot-Useful"
 	runningHeader  = "Coltsfoot-Running"
 	queuedHeader   = "Coltsfoot-Queued"
 	slotsHeader    = "Coltsfoot-Slots"
 	workHeader     = "Coltsfoot-Work"
 	failingHeader  = "Coltsfoot-Failing"
+	faultyHeader   = "Coltsfoot-Faulty"
 	reopenHeader   = "Coltsfoot-Reopen"
 	reasonHeader   = "Coltsfoot-Reason"
 	arrivedHeader  = "Coltsfoot-Arrived"
@@ -47,6 +49,15 @@
 	return n
 }
 
+// share reads a number from 0 to 1 in the same way.
+func share(h http.Header, name string) float64 {
+	f, err := strconv.ParseFloat(h.Get(name), 64)
+	if err != nil {
+		return 0
+	}
+	return f
+}
+
 func duration(h http.Header, name string) time.Duration {
 	return time.Duration(number(h, name)) * time.Microsecond
 }
@@ -62,7 +73,8 @@
 	h.Set(kindHeader, strconv.Itoa(int(o.Kind)))
 	h.Set(rankHeader, strconv.Itoa(o.Rank))
 	h.Set(callerHeader, o.Caller)
-	h.Set(waitHeader, strconv.FormatBool(o.Wait))
+	setDuration(h, patienceHeader, o.Patience)
+	setDuration(h, usefulHeader, time.Until(o.Objective))
 	setDuration(h, leftHeader, time.Until(o.Deadline))
 }
 
@@ -71,20 +83,21 @@
 func readOrder(r *http.Request) *Order {
 	h := r.Header
 	return &Order{
-		ID:       h.Get(idHeader),
-		Service:  h.Get(forwarder.ServiceHeader),
-		Version:  h.Get(forwarder.VersionHeader),
-		Instance: h.Get(instanceHeader),
-		Rule:     h.Get(forwarder.RouteHeader),
-		Kind:     matcher.Kind(number(h, kindHeader)),
-		Rank:     number(h, rankHeader),
-		Caller:   h.Get(callerHeader),
-		Deadline: time.Now().Add(duration(h, leftHeader)),
-		Wait:     h.Get(waitHeader) == "true",
-		Method:   r.Method,
-		URI:      r.RequestURI,
-		Host:     r.Host,
-		Header:   forwarder.Carried(h),
+		ID:        h.Get(idHeader),
+		Service:   h.Get(forwarder.ServiceHeader),
+		Version:   h.Get(forwarder.VersionHeader),
+		Instance:  h.Get(instanceHeader),
+		Rule:      h.Get(forwarder.RouteHeader),
+		Kind:      matcher.Kind(number(h, kindHeader)),
+		Rank:      number(h, rankHeader),
+		Caller:    h.Get(callerHeader),
+		Deadline:  time.Now().Add(duration(h, leftHeader)),
+		Objective: time.Now().Add(duration(h, usefulHeader)),
+		Patience:  duration(h, patienceHeader),
+		Method:    r.Method,
+		URI:       r.RequestURI,
+		Host:      r.Host,
+		Header:    forwarder.Carried(h),
 	}
 }
 
@@ -93,21 +106,19 @@
 	h.Set(queuedHeader, strconv.Itoa(l.Queued))
 	h.Set(slotsHeader, strconv.Itoa(l.Slots))
 	h.Set(failingHeader, strconv.FormatFloat(l.Failing, 'f', 3, 64))
+	h.Set(faultyHeader, strconv.FormatFloat(l.Faulty, 'f', 3, 64))
 	setDuration(h, workHeader, l.Work)
 	setDuration(h, reopenHeader, l.Wait)
 }
 
 func readLoad(h http.Header) chooser.Load {
-	failing, err := strconv.ParseFloat(h.Get(failingHeader), 64)
-	if err != nil {
-		failing = 0
-	}
 	return chooser.Load{
 		Running: number(h, runningHeader),
 		Queued:  number(h, queuedHeader),
 		Slots:   number(h, slotsHeader),
 		Work:    duration(h, workHeader),
-		Failing: failing,
+		Failing: share(h, failingHeader),
+		Faulty:  share(h, faultyHeader),
 		Wait:    duration(h, reopenHeader),
 	}
 }
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -27,7 +27,7 @@
 	// few milliseconds that they take.
 	farPenalty = 20 * time.Millisecond
 	// farBytePenalty is the cost of carrying a kilobyte to another zone.
-	farBytePenalty = time.Millisecond
+	farBytePenalty = 2500 * time.Microsecond
 	// suspectPenalty puts a target that did not answer behind all others.
 	suspectPenalty = 10 * time.Second
 	// jitter is the part by which costs are varied, so that daemons that know
@@ -72,6 +72,8 @@
 	Work time.Duration
 	// Failing is the share of its latest answers that were failures, 0 to 1.
 	Failing float64
+	// Faulty is the same among the answers to requests that it has run.
+	Faulty float64
 	// Wait is how long the target takes nothing more, or 0.
 	Wait time.Duration
 }
@@ -122,13 +124,23 @@
 	Avoid func(instance string) bool
 }
 
-// Pick returns the target with the least expected cost; ok is false when there
-// is none. Cost is the expected time to an answer.
-func (c *Chooser) Pick(targets []Target, w Wanted) (best Target, cost time.Duration, ok bool) {
+// Choice is a chosen target.
+type Choice struct {
+	Target
+	// Margin is by how much the next best target is worse: a wait there is worth
+	// as much.
+	Margin time.Duration
+}
+
+// Pick returns the target with the least expected time to an answer; ok is false
+// when there is none.
+func (c *Chooser) Pick(targets []Target, w Wanted) (choice Choice, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	c.sweep(now)
+	var cost time.Duration
+	second := suspectPenalty
 	for _, t := range targets {
 		if w.Avoid != nil && w.Avoid(t.Instance) {
 			continue
@@ -136,10 +148,16 @@
 		estimate := c.cost(c.state(t.Instance, now), t, w, now)
 		estimate += time.Duration(float64(estimate) * jitter * rand.Float64())
 		if !ok || estimate < cost {
-			best, cost, ok = t, estimate, true
+			if ok {
+				second = cost
+			}
+			choice.Target, cost, ok = t, estimate, true
+		} else {
+			second = min(second, estimate)
 		}
 	}
-	return best, cost, ok
+	choice.Margin = second - cost
+	return choice, ok
 }
 
 // cost estimates the time to an answer from a target.
@@ -261,8 +279,9 @@
 	s.strikes = min(s.strikes+1, 3)
 }
 
-// Failing returns the mean share of failures that targets have told of.
-func (c *Chooser) Failing(targets []Target) float64 {
+// Faulty returns the mean share of failures among the requests that targets have
+// run.
+func (c *Chooser) Faulty(targets []Target) float64 {
 	if len(targets) == 0 {
 		return 0
 	}
@@ -271,7 +290,7 @@
 	var sum float64
 	for _, t := range targets {
 		if s, ok := c.states[t.Instance]; ok {
-			sum += s.load.Failing
+			sum += s.load.Faulty
 		}
 	}
 	return sum / float64(len(targets))
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -64,6 +64,12 @@
 		(e.Err != nil && !e.Cut && !e.TimedOut && classifier.Of(e.Err) != classifier.NotRun)
 }
 
+// turnedAway reports whether the target did not take the order, although it had
+// a slot free for it.
+func (e Ending) turnedAway() bool {
+	return e.Err != nil && !e.Cut && !e.TimedOut && classifier.Of(e.Err) == classifier.NotRun
+}
+
 // maxAnswerBytes is the size of the largest answer that is taken.
 const maxAnswerBytes = 64 << 20
 
@@ -72,15 +78,16 @@
 func (d *Deliverer) Deliver(ctx context.Context, o *carrier.Order) (*carrier.Answer, error) {
 	ctx, cancel := context.WithDeadline(ctx, o.Deadline)
 	defer cancel()
-	if o.Wait {
+	if o.Patience > 0 {
 		carrier.Started(ctx)
 	}
 	err := d.Gate.Enter(ctx, admitter.Ask{
-		Instance: o.Instance,
-		Rule:     o.Rule,
-		Rank:     o.Rank,
-		Deadline: o.Deadline,
-		Wait:     o.Wait,
+		Instance:  o.Instance,
+		Rule:      o.Rule,
+		Rank:      o.Rank,
+		Deadline:  o.Deadline,
+		Objective: o.Objective,
+		Patience:  o.Patience,
 	})
 	if err != nil {
 		f := d.refusal(o, err)
@@ -89,9 +96,10 @@
 	}
 	answer, ending := d.run(ctx, o)
 	d.Gate.Leave(o.Rule, admitter.Outcome{
-		Duration: ending.Duration,
-		Failed:   ending.Bad(),
-		Cut:      ending.Cut || ending.TimedOut,
+		Duration:   ending.Duration,
+		Failed:     ending.Bad(),
+		TurnedAway: ending.turnedAway(),
+		Cut:        ending.Cut || ending.TimedOut,
 	})
 	d.Observe(o, ending)
 	if ending.Err != nil {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -22,8 +22,8 @@
 const (
 	// maxSends bounds the daemons that one request is sent to.
 	maxSends = 6
-	// eagerSends is the number of daemons that are asked for a free slot before
-	// the request queues at one.
+	// eagerSends is the number of daemons that are asked for a slot before the
+	// request queues at one for as long as it can.
 	eagerSends = 3
 	// answerMargin is kept of a request's time to write the answer.
 	answerMargin = 5 * time.Millisecond
@@ -273,7 +273,7 @@
 }
 
 // pick chooses the next target.
-func (d *Dispatcher) pick(c *call, first bool) (chooser.Target, bool) {
+func (d *Dispatcher) pick(c *call, first bool) (chooser.Choice, bool) {
 	pool := d.Pool(c.service)
 	wanted := chooser.Wanted{
 		Rule:  c.rule.Name,
@@ -283,8 +283,8 @@
 	if first {
 		c.trial = len(pool.Trial) > 0 && d.toTrial(c.service, pool.Share)
 	}
-	if t, ok := d.pickFrom(c, pool, wanted); ok && c.sends < eagerSends {
-		return t, true
+	if choice, ok := d.pickFrom(c, pool, wanted); ok && c.sends < eagerSends {
+		return choice, true
 	}
 	c.wait = true
 	return d.pickFrom(c, pool, wanted)
@@ -293,25 +293,24 @@
 // pickFrom chooses from the request's part of the pool. Requests of the trial
 // fall back on the other targets, and the others on the trial only where it
 // gets all.
-func (d *Dispatcher) pickFrom(c *call, pool Pool, w chooser.Wanted) (chooser.Target, bool) {
+func (d *Dispatcher) pickFrom(c *call, pool Pool, w chooser.Wanted) (chooser.Choice, bool) {
 	targets, others := pool.Targets, pool.Trial
 	if c.trial {
 		targets, others = others, targets
 	}
-	if t, _, ok := d.Chooser.Pick(targets, w); ok {
-		return t, true
+	if choice, ok := d.Chooser.Pick(targets, w); ok {
+		return choice, true
 	}
 	if !c.trial && pool.Share < 1 {
-		return chooser.Target{}, false
+		return chooser.Choice{}, false
 	}
-	t, _, ok := d.Chooser.Pick(others, w)
-	return t, ok
+	return d.Chooser.Pick(others, w)
 }
 
 // try sends the request to one target's daemon.
-func (d *Dispatcher) try(ctx context.Context, c *call, t chooser.Target) (*carrier.Answer, error) {
+func (d *Dispatcher) try(ctx context.Context, c *call, t chooser.Choice) (*carrier.Answer, error) {
 	c.sends++
-	c.last = t
+	c.last = t.Target
 	o := d.order(c, t)
 	d.Chooser.Started(t.Instance)
 	var answer *carrier.Answer
@@ -323,7 +322,7 @@
 	}
 	d.Chooser.Ended(t.Instance)
 	if err != nil {
-		d.learn(ctx, c, t, carrier.Fail(err))
+		d.learn(ctx, c, t.Target, carrier.Fail(err))
 		return nil, err
 	}
 	c.arrivals++
@@ -347,28 +346,33 @@
 	}
 }
 
-func (d *Dispatcher) order(c *call, t chooser.Target) *carrier.Order {
+func (d *Dispatcher) order(c *call, t chooser.Choice) *carrier.Order {
+	patience := t.Margin
+	if c.wait {
+		patience = time.Until(c.deadline)
+	}
 	r := c.request
 	uri := r.RequestURI
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
 	}
 	return &carrier.Order{
-		ID:       c.client.ID,
-		Service:  c.service,
-		Version:  t.Version,
-		Instance: t.Instance,
-		Rule:     c.rule.Name,
-		Kind:     c.rule.Kind,
-		Rank:     c.rule.Rank,
-		Caller:   d.Caller,
-		Deadline: c.deadline,
-		Wait:     c.wait,
-		Method:   r.Method,
-		URI:      uri,
-		Host:     r.Host,
-		Header:   r.Header,
-		Body:     r.Body,
+		ID:        c.client.ID,
+		Service:   c.service,
+		Version:   t.Version,
+		Instance:  t.Instance,
+		Rule:      c.rule.Name,
+		Kind:      c.rule.Kind,
+		Rank:      c.rule.Rank,
+		Caller:    d.Caller,
+		Deadline:  c.deadline,
+		Objective: r.Began.Add(c.rule.Objective),
+		Patience:  patience,
+		Method:    r.Method,
+		URI:       uri,
+		Host:      r.Host,
+		Header:    r.Header,
+		Body:      r.Body,
 	}
 }
 
--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -122,7 +122,7 @@
 	if deadline, ok := r.Context().Deadline(); ok {
 		setTimeout(out.Header, time.Until(deadline))
 	}
-	out.Body = &body{Reader: r.Body}
+	out.Body = &Body{Reader: r.Body}
 	out.GetBody = nil
 	return out
 }
--- a/internal/forwarder/call.go
+++ b/internal/forwarder/call.go
@@ -24,7 +24,7 @@
 	// body is the whole body when it is small, else nil.
 	body []byte
 	// stream is the body when it is large.
-	stream *body
+	stream *Body
 	// tried holds the VMs of the daemons that the call was sent to.
 	tried []string
 }
@@ -43,7 +43,7 @@
 func (c *Call) takeBody(limit int64) (status int, err error) {
 	r := c.Request
 	if r.ContentLength < 0 || r.ContentLength > smallBody {
-		c.stream = &body{Reader: http.MaxBytesReader(nil, r.Body, limit)}
+		c.stream = &Body{Reader: http.MaxBytesReader(nil, r.Body, limit)}
 		return 0, nil
 	}
 	if c.body, err = io.ReadAll(r.Body); err != nil {
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -197,7 +197,7 @@
 	out.GetBody = nil
 	out.Body = c.stream
 	if c.stream == nil {
-		out.Body = &body{Reader: bytes.NewReader(c.body)}
+		out.Body = &Body{Reader: bytes.NewReader(c.body)}
 		return out
 	}
 	out.Header.Set("Expect", "100-continue")
--- a/internal/forwarder/trip.go
+++ b/internal/forwarder/trip.go
@@ -111,21 +111,24 @@
 }
 
 // NewBody returns a request body that is sent at most once.
-func NewBody(data []byte) io.ReadCloser {
-	return &body{Reader: bytes.NewReader(data)}
+func NewBody(data []byte) *Body {
+	return &Body{Reader: bytes.NewReader(data)}
 }
 
-// body is a request body that the transport sends at most once, since it is
+// Begun reports whether any of the body may have been sent.
+func (b *Body) Begun() bool { return b.read.Load() }
+
+// Body is a request body that the transport sends at most once, since it is
 // neither empty nor rewindable to it. It notes whether it was read and how
 // reading failed.
-type body struct {
+type Body struct {
 	io.Reader
 	read   atomic.Bool
 	failed atomic.Pointer[error]
 }
 
 // Read reads and notes it.
-func (b *body) Read(p []byte) (int, error) {
+func (b *Body) Read(p []byte) (int, error) {
 	b.read.Store(true)
 	n, err := b.Reader.Read(p)
 	if err != nil && err != io.EOF {
@@ -135,11 +138,11 @@
 }
 
 // Close leaves the caller's body open: its server closes it.
-func (b *body) Close() error { return nil }
+func (b *Body) Close() error { return nil }
 
 // bodyError returns how reading the request's body failed, or nil.
 func bodyError(req *http.Request) error {
-	b, ok := req.Body.(*body)
+	b, ok := req.Body.(*Body)
 	if !ok {
 		return nil
 	}
--- a/internal/forwarder/trip_test.go
+++ b/internal/forwarder/trip_test.go
@@ -80,7 +80,7 @@
 			}
 			return c, nil
 		}
-		req, _ := http.NewRequestWithContext(t.Context(), "POST", srv.URL, &body{Reader: strings.NewReader("x")})
+		req, _ := http.NewRequestWithContext(t.Context(), "POST", srv.URL, &Body{Reader: strings.NewReader("x")})
 		if _, err := roundTrip(tr, req); classifier.Of(err) != want {
 			t.Errorf("after %d bytes: %v, want %v", left, err, want)
 		}
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -1,6 +1,7 @@
 package shifter
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -37,16 +38,20 @@
 	Calls, Faults int
 }
 
-// Thresholds of a verdict on the answers of all targets of a version.
+// Thresholds of a verdict on the answers of all targets of a version: more
+// failures than the former version would have had, by some standard deviations
+// of a Poisson distribution and a few.
 const (
-	minPoolFaults  = 4
-	poolFaultShare = 0.05
+	usualFailing   = 0.003
+	poolDeviations = 3
+	poolAllowance  = 2
 )
 
 // Bad reports whether the version fails too many requests. Failing is the share
 // of failures among the former version's answers.
 func (p Pool) Bad(failing float64) bool {
-	return p.Faults >= minPoolFaults && float64(p.Faults) >= max(poolFaultShare, othersFactor*failing)*float64(p.Calls)
+	expected := float64(p.Calls) * max(usualFailing, failing)
+	return float64(p.Faults) >= expected+poolDeviations*math.Sqrt(expected)+poolAllowance
 }
 
 // count is the answers of one rule.
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -15,9 +15,10 @@
 
 // Methods of the calls between daemons.
 const (
-	memberMethod = "member"
-	joinMethod   = "join"
-	copyMethod   = "copy"
+	memberMethod   = "member"
+	joinMethod     = "join"
+	copyMethod     = "copy"
+	withdrawMethod = "withdraw"
 )
 
 // Times of finding and keeping up with other daemons.
@@ -108,23 +109,28 @@
 
 // tell tells the other members of the daemon.
 func (d *Daemon) tell(self prober.Member) {
-	message := prober.Message{
+	d.callMembers(memberMethod, prober.Message{
 		Kind:    prober.Push,
 		From:    self.ID,
 		DC:      self.DC,
 		Members: []prober.Member{self},
-	}
-	told := 0
+	})
+}
+
+// callMembers calls a method of the other members and waits for no answer.
+func (d *Daemon) callMembers(method string, params any) {
+	called := 0
 	for _, m := range d.members.All() {
-		if m.ID == self.ID || m.Status > prober.Suspect || told == maxDirect {
+		if m.ID == d.settings.Name || m.Status > prober.Suspect || called == maxDirect {
 			continue
 		}
-		told++
-		go d.exchangeOne(prober.Call{
-			To:      m.Control,
-			ID:      m.ID,
-			Message: message,
-		})
+		called++
+		go func() {
+			if err := d.client.Call(context.Background(), m.Control, method, params, nil); err != nil {
+				d.count("member.failed")
+				d.log.Debug("peer not told", "peer", m.ID, "method", method, "err", err)
+			}
+		}()
 	}
 }
 
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -47,7 +47,7 @@
 	if d.gate.Cold() {
 		a.Duration = 0
 	}
-	if !d.judge.Add(*s.order, a, d.chooser.Failing(s.targets)) {
+	if !d.judge.Add(*s.order, a, d.chooser.Faulty(s.targets)) {
 		d.tellCounts(*s.order, a.Failed)
 		return
 	}
@@ -78,21 +78,51 @@
 			pool.Faults += m.Target.Faults
 		}
 	}
-	return pool.Bad(d.chooser.Failing(targets))
+	return pool.Bad(d.chooser.Faulty(targets))
 }
 
-// withdraw stops the requests to an order's version here, and tells the others.
+// withdrawal tells that an order's version was found to be bad.
+type withdrawal struct {
+	Service  string `json:"service"`
+	Revision uint64 `json:"revision"`
+	By       string `json:"by"`
+}
+
+// withdraw stops the requests to an order's version, here and at the others.
 func (d *Daemon) withdraw(o shifter.Order) {
 	d.building.Lock()
+	known := d.spoilt[o]
 	d.spoilt[o] = true
 	d.rebuild()
 	d.building.Unlock()
+	if known {
+		return
+	}
 	self := d.members.Self().Target
 	if self != nil && self.Version == o.Version && !self.Withdrawn {
 		next := *self
 		next.Withdrawn = true
 		d.spread(&next)
 	}
+	d.callMembers(withdrawMethod, withdrawal{
+		Service:  o.Service,
+		Revision: o.Revision,
+		By:       d.settings.Name,
+	})
+}
+
+// answerWithdraw takes in that another daemon has found a version to be bad.
+func (d *Daemon) answerWithdraw(_ context.Context, w withdrawal) (struct{}, error) {
+	d.building.Lock()
+	defer d.building.Unlock()
+	o, ok := d.declared.Orders[w.Service]
+	if !ok || o.Revision != w.Revision || d.spoilt[o] {
+		return struct{}{}, nil
+	}
+	d.log.Warn("move withdrawn", "service", o.Service, "version", o.Version, "by", w.By)
+	d.spoilt[o] = true
+	d.rebuild()
+	return struct{}{}, nil
 }
 
 // withdrawn reports whether the own target's version was found to be bad here.
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -71,7 +71,7 @@
 // reached the target.
 func (d *Daemon) observeRefused(o *carrier.Order, f *carrier.Failure) {
 	d.count("order.refused")
-	d.log.Info("order refused", "request", o.ID, "rule", o.Rule, "target", o.Instance, "left", time.Until(o.Deadline), "wait", o.Wait, "rank", o.Rank,
+	d.log.Info("order refused", "request", o.ID, "rule", o.Rule, "target", o.Instance, "left", time.Until(o.Deadline), "patience", o.Patience, "rank", o.Rank,
 		"running", f.Load.Running, "queued", f.Load.Queued, "slots", f.Load.Slots, "work", f.Load.Work, "cold", f.Load.Wait, "reason", f.Reason)
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -216,6 +216,7 @@
 	d.receiver = d.newReceiver()
 	linker.Handle(d.control, memberMethod, d.answerMember)
 	linker.Handle(d.control, joinMethod, d.answerJoin)
+	linker.Handle(d.control, withdrawMethod, d.answerWithdraw)
 	linker.Handle(d.control, copyMethod, d.answerCopy)
 	return d
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -508,7 +508,7 @@
 // key again when the store is back.
 func TestStoreAway(t *testing.T) {
 	m := newMesh(t)
-	a := m.add("zilina", "renewal", "v1")
+	m.add("zilina", "renewal", "v1")
 	b := m.add("martin", "renewal", "v1")
 	m.plan(1, safe)
 	m.awaitMembers()
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -210,9 +210,9 @@
 		}
 	}
 	if s.order != nil && !s.done && !s.bad && d.pooledBad(*s.order, members, s.targets) {
-		d.spoilt[*s.order] = true
 		s.bad = true
 		d.log.Warn("version found bad by the answers of all its targets", "service", service, "version", s.order.Version)
+		go d.withdraw(*s.order)
 	}
 	if s.bad {
 		s.trial = nil
