Let two relays a zone watch the store for the others

Change: relays by rendezvous in each zone tell what they have twice a second and at each change; others fetch a copy that is packed once, and watch by themselves after 1.6 s without news of a relay that reaches the store.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -25,6 +25,11 @@
 	watchTime = 25 * time.Second
 	// retryPause is the pause after a call that failed.
 	retryPause = 300 * time.Millisecond
+	// firstPause is the pause between the first read and the first watch, in
+	// which daemons learn who watches.
+	firstPause = 800 * time.Millisecond
+	// idlePause is how often it is looked whether to watch.
+	idlePause = 100 * time.Millisecond
 )
 
 // Copy is the items under a prefix at a revision. Values are immutable.
@@ -37,6 +42,9 @@
 type Follower struct {
 	Prefix   string
 	Platform storer.Platform
+	// Watching reports whether the platform is to be watched; otherwise newer
+	// copies are offered by a daemon that does. Nil means always.
+	Watching func() bool
 	// Changed is called with each newer copy, one at a time and in order.
 	Changed func(c Copy)
 	// Reached is told whether the last call to the platform was answered.
@@ -83,7 +91,16 @@
 // Run follows the platform until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	watching := false
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; {
+		if _, known := f.Copy(); known && first {
+			first = false
+			pause(ctx, firstPause)
+		}
+		if !first && f.Watching != nil && !f.Watching() {
+			watching = true
+			pause(ctx, idlePause)
+			continue
+		}
 		var err error
 		if watching {
 			err = f.watch(ctx)
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -19,6 +19,7 @@
 	joinMethod     = "join"
 	copyMethod     = "copy"
 	withdrawMethod = "withdraw"
+	newsMethod     = "news"
 )
 
 // Times of finding and keeping up with other daemons.
@@ -32,8 +33,9 @@
 	registerPause = 500 * time.Millisecond
 	// relookPeriod is how often daemons are looked up again, should groups
 	// have come up that don't know each other.
-	relookPeriod = 20 * time.Second
-	// firstRelook is the same, once, after the start.
+	relookPeriod = time.Minute
+	// firstRelook is the same, once, after a start at which no other daemon was
+	// found.
 	firstRelook = 2 * time.Second
 	// peerPeriod is how often another daemon is asked for newer records while
 	// the store doesn't answer.
@@ -200,7 +202,7 @@
 		}
 		if !d.clock.Now().Before(relook) && d.lookUp(ctx) == nil {
 			relook = d.clock.Now().Add(relookPeriod)
-			if looks++; looks == 1 {
+			if looks++; looks == 1 && d.members.Counts().Live() == 1 {
 				relook = d.clock.Now().Add(firstRelook)
 			}
 		}
@@ -274,31 +276,14 @@
 	maps.Copy(d.known, addresses)
 }
 
-// copyQuestion asks another daemon for its copy of the records under a prefix if
-// that is newer than a revision.
-type copyQuestion struct {
-	Prefix   string `json:"prefix"`
-	Revision uint64 `json:"revision"`
-}
-
-// answerCopy answers another daemon's question.
-func (d *Daemon) answerCopy(_ context.Context, q copyQuestion) (follower.Copy, error) {
-	for _, f := range []*follower.Follower{d.operator, d.outcomes} {
-		if c, ok := f.Copy(); ok && f.Prefix == q.Prefix && c.Revision > q.Revision {
-			return c, nil
-		}
-	}
-	return follower.Copy{}, nil
-}
-
 // learnFromPeers asks another daemon for newer records while the store does not
 // answer, and tells daemons that were restarted of the others.
 func (d *Daemon) learnFromPeers(ctx context.Context) {
 	recall := d.clock.Now().Add(recallPeriod)
 	for ctx.Err() == nil {
 		pause(ctx, peerPeriod)
-		for _, f := range []*follower.Follower{d.operator, d.outcomes} {
-			if !d.isReached("store " + f.Prefix) {
+		for _, f := range d.followers() {
+			if d.watching() && !d.isReached("store "+f.Prefix) {
 				d.askPeer(ctx, f)
 			}
 		}
@@ -317,22 +302,8 @@
 			peers = append(peers, m.Control)
 		}
 	}
-	if len(peers) == 0 {
-		return
-	}
-	known, _ := f.Copy()
-	var c follower.Copy
-	peer := peers[rand.IntN(len(peers))]
-	err := d.client.Call(ctx, peer, copyMethod, copyQuestion{
-		Prefix:   f.Prefix,
-		Revision: known.Revision,
-	}, &c)
-	if err != nil {
-		d.log.Debug("no records from a peer", "peer", peer, "err", err)
-		return
-	}
-	if c.Revision > known.Revision && f.Offer(c) {
-		d.log.Info("records learned from a peer", "peer", peer, "prefix", f.Prefix, "revision", c.Revision)
+	if len(peers) > 0 {
+		d.fetch(ctx, f, peers[rand.IntN(len(peers))])
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -138,7 +138,16 @@
 	known   map[string]string
 
 	// joined is set once the other daemons were looked up.
-	joined  atomic.Bool
+	joined atomic.Bool
+	// heardNews is when a relay that reaches the store was heard of last, and
+	// changed is sent to when there is news to tell.
+	heardNews atomic.Pointer[time.Time]
+	changed   chan struct{}
+	fetching  sync.Map
+	// packed holds the copies that were last packed, by prefix.
+	packing sync.Mutex
+	packed  map[string]follower.Packed
+
 	leaving atomic.Bool
 	left    atomic.Bool
 	reached sync.Map
@@ -194,6 +203,8 @@
 		ended:      map[start]bool{},
 		known:      map[string]string{},
 		probing:    make(chan struct{}, memberCalls),
+		changed:    make(chan struct{}, 1),
+		packed:     map[string]follower.Packed{},
 	}
 	d.budget = &dispatcher.Budget{
 		Daemons: func() int { return d.members.Counts().Live() },
@@ -216,6 +227,7 @@
 	d.receiver = d.newReceiver()
 	linker.Handle(d.control, memberMethod, d.answerMember)
 	linker.Handle(d.control, joinMethod, d.answerJoin)
+	linker.Handle(d.control, newsMethod, d.answerNews)
 	linker.Handle(d.control, withdrawMethod, d.answerWithdraw)
 	linker.Handle(d.control, copyMethod, d.answerCopy)
 	return d
@@ -318,7 +330,7 @@
 			}
 		}()
 	}
-	for _, run := range []func(context.Context){d.operator.Run, d.outcomes.Run, d.gossip, d.register, d.learnFromPeers, d.keepMoves, d.watchTarget} {
+	for _, run := range []func(context.Context){d.operator.Run, d.outcomes.Run, d.relay, d.gossip, d.register, d.learnFromPeers, d.keepMoves, d.watchTarget} {
 		go run(stopped)
 	}
 	d.log.Info("daemon started", "service", d.sidecar.Service, "traffic", d.settings.Listen.Traffic, "admit", d.settings.Listen.Admit)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,15 +95,25 @@
 	return m
 }
 
-// free returns an address of the loopback that nothing listens on. It stays
-// reserved for the test by a listener elsewhere being refused the port.
+// nextPort is the port that is tried next. It stays below the ports that the
+// kernel gives to outgoing connections, so that a daemon which is started again
+// finds its port free.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(15000 + rand.Int32N(12000)) }
+
+// free returns an address of the loopback that nothing listens on.
 func (m *mesh) free() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		m.t.Fatal(err)
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		ln, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = ln.Close()
+			return address
+		}
 	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	m.t.Fatal("no free port")
+	return ""
 }
 
 // add starts a target and its daemon.
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -88,7 +88,11 @@
 	return &follower.Follower{
 		Prefix:   prefix,
 		Platform: d.platform.Store,
-		Changed:  changed,
+		Watching: d.watching,
+		Changed: func(c follower.Copy) {
+			changed(c)
+			d.notify()
+		},
 		Reached: func(ok bool, err error) {
 			d.dependency("store "+prefix, ok, err)
 		},
