--- /dev/null
+++ b/internal/carrier/carrier_test.go
@@ -0,0 +1,258 @@
+package carrier_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
+	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
+)
+
+const key = "key-of-the-tests-mesh"
+
+func newClient() *carrier.Client {
+	return &carrier.Client{
+		Key:       key,
+		Transport: forwarder.NewTransport(4),
+		Silent:    func(string) {},
+	}
+}
+
+// serve starts a daemon's side that delivers by a function.
+func serve(t *testing.T, deliver carrier.Deliver) string {
+	t.Helper()
+	s := httptest.NewServer(&carrier.Server{
+		Key:     key,
+		Deliver: deliver,
+		MaxBody: func() int64 { return 1 << 20 },
+	})
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.Listener.Addr().String()
+}
+
+func order(kind matcher.Kind, body string) *carrier.Order {
+	return &carrier.Order{
+		ID:        "id-1",
+		Service:   "s",
+		Version:   "v1",
+		Instance:  "i-1",
+		Rule:      "pay",
+		Kind:      kind,
+		Rank:      2,
+		Caller:    "c",
+		Deadline:  time.Now().Add(20 * time.Second),
+		Objective: time.Now().Add(10 * time.Second),
+		Patience:  30 * time.Millisecond,
+		Method:    "POST",
+		URI:       "/pay/%2f?a=b;c&",
+		Host:      "a.example",
+		Header:    http.Header{"X-Own": {"1"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Body:      []byte(body),
+	}
+}
+
+func TestRoundTrip(t *testing.T) {
+	for _, size := range []int{0, 10, 100 << 10} {
+		body := strings.Repeat("x", size)
+		var got *carrier.Order
+		address := serve(t, func(ctx context.Context, o *carrier.Order) (*carrier.Answer, error) {
+			carrier.Started(ctx)
+			if err := carrier.ReadBody(ctx); err != nil {
+				t.Error(err)
+			}
+			got = o
+			return &carrier.Answer{
+				Status: 418,
+				Header: http.Header{"X-Server": {"2"}},
+				Body:   []byte("answer"),
+				Load:   chooser.Load{Running: 1, Queued: 2, Slots: 3, Work: 4 * time.Millisecond, Failing: 0.5, Faulty: 0.25, Wait: time.Second},
+			}, nil
+		})
+		sent := order(matcher.Once, body)
+		a, err := newClient().Send(t.Context(), address, sent)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a.Status != 418 || string(a.Body) != "answer" || a.Header.Get("X-Server") != "2" ||
+			a.Load != (chooser.Load{Running: 1, Queued: 2, Slots: 3, Work: 4 * time.Millisecond, Failing: 0.5, Faulty: 0.25, Wait: time.Second}) {
+			t.Errorf("%+v", a)
+		}
+		if got.ID != sent.ID || got.URI != sent.URI || got.Host != sent.Host || got.Instance != "i-1" || got.Rank != 2 || got.Kind != matcher.Once ||
+			got.Caller != "c" || got.Patience != sent.Patience || string(got.Body) != body {
+			t.Errorf("%+v", got)
+		}
+		if got.Header.Get("X-Own") != "1" || got.Header.Get("X-Hop") != "" || got.Header.Get("Coltsfoot-Key") != "" {
+			t.Errorf("headers %v", got.Header)
+		}
+		if off := got.Deadline.Sub(sent.Deadline).Abs(); off > time.Second {
+			t.Errorf("deadline off by %v", off)
+		}
+	}
+}
+
+func TestFailureIsCarried(t *testing.T) {
+	for _, verdict := range []classifier.Verdict{classifier.NotRun, classifier.Ran, classifier.MayHaveRun} {
+		address := serve(t, func(context.Context, *carrier.Order) (*carrier.Answer, error) {
+			return nil, &carrier.Failure{
+				Failure: classifier.Fail(verdict, "some reason", nil),
+				Arrived: true,
+				Pause:   time.Second,
+				Load:    chooser.Load{Running: 7},
+			}
+		})
+		_, err := newClient().Send(t.Context(), address, order(matcher.Once, "x"))
+		f := carrier.Fail(err)
+		if f.Verdict != verdict || f.Reason != "some reason" || !f.Arrived || !f.Told || f.Pause != time.Second || f.Load.Running != 7 {
+			t.Errorf("%+v", f)
+		}
+	}
+}
+
+func TestWrongKey(t *testing.T) {
+	address := serve(t, func(context.Context, *carrier.Order) (*carrier.Answer, error) {
+		t.Error("delivered")
+		return nil, nil
+	})
+	c := newClient()
+	c.Key = "another-key-of-the-mesh"
+	if _, err := c.Send(t.Context(), address, order(matcher.Once, "x")); classifier.Of(err) != classifier.NotRun {
+		t.Error(err)
+	}
+}
+
+// counted is a listener that counts the bytes that its connections read.
+type counted struct {
+	net.Listener
+	read atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (l *counted) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countedConn{Conn: conn, read: &l.read}, err
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// TestRefusalCarriesNoBody refuses an order before its body is asked for.
+func TestRefusalCarriesNoBody(t *testing.T) {
+	s := httptest.NewUnstartedServer(&carrier.Server{
+		Key: key,
+		Deliver: func(context.Context, *carrier.Order) (*carrier.Answer, error) {
+			return nil, classifier.Fail(classifier.NotRun, "busy", nil)
+		},
+		MaxBody: func() int64 { return 1 << 20 },
+	})
+	ln := &counted{Listener: s.Listener}
+	s.Listener = ln
+	s.Start()
+	defer s.Close()
+	_, err := newClient().Send(t.Context(), s.Listener.Addr().String(), order(matcher.Idempotent, strings.Repeat("x", 100<<10)))
+	if classifier.Of(err) != classifier.NotRun || ln.read.Load() > 4<<10 {
+		t.Errorf("%v, %d bytes read", err, ln.read.Load())
+	}
+}
+
+// TestSilentDaemon sends to one that takes connections and says nothing.
+func TestSilentDaemon(t *testing.T) {
+	for name, test := range map[string]struct {
+		order *carrier.Order
+		want  classifier.Verdict
+	}{
+		"idempotent":           {order: order(matcher.Idempotent, ""), want: classifier.MayHaveRun},
+		"once, body not asked": {order: order(matcher.Once, "pay"), want: classifier.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			var told atomic.Bool
+			c := newClient()
+			c.Silent = func(string) { told.Store(true) }
+			start := time.Now()
+			_, err = c.Send(t.Context(), ln.Addr().String(), test.order)
+			if classifier.Of(err) != test.want || !told.Load() {
+				t.Errorf("%v, told %v", err, told.Load())
+			}
+			if took := time.Since(start); took > 10*time.Second {
+				t.Errorf("given up after %v", took)
+			}
+		})
+	}
+}
+
+// TestBrokenDaemon breaks the connection at different points.
+func TestBrokenDaemon(t *testing.T) {
+	for name, test := range map[string]struct {
+		deliver carrier.Deliver
+		want    classifier.Verdict
+	}{
+		"before the body was asked for": {
+			deliver: func(context.Context, *carrier.Order) (*carrier.Answer, error) { panic(http.ErrAbortHandler) },
+			want:    classifier.NotRun,
+		},
+		"after the body was read": {
+			deliver: func(ctx context.Context, _ *carrier.Order) (*carrier.Answer, error) {
+				if err := carrier.ReadBody(ctx); err != nil {
+					t.Error(err)
+				}
+				panic(http.ErrAbortHandler)
+			},
+			want: classifier.MayHaveRun,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := newClient().Send(t.Context(), serve(t, test.deliver), order(matcher.Once, "pay"))
+			if err == nil || classifier.Of(err) != test.want {
+				t.Errorf("%v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// TestCancel ends the delivery when the sender's client is gone.
+func TestCancel(t *testing.T) {
+	entered, ended := make(chan struct{}), make(chan struct{})
+	address := serve(t, func(ctx context.Context, _ *carrier.Order) (*carrier.Answer, error) {
+		carrier.Started(ctx)
+		close(entered)
+		<-ctx.Done()
+		close(ended)
+		return nil, ctx.Err()
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-entered
+		cancel()
+	}()
+	if _, err := newClient().Send(ctx, address, order(matcher.Idempotent, "")); err == nil {
+		t.Error("answered")
+	}
+	select {
+	case <-ended:
+	case <-time.After(30 * time.Second):
+		t.Error("the delivery goes on")
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,245 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
+	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
+	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
+)
+
+// step is what one send comes to.
+type step func(o *carrier.Order) (*carrier.Answer, error)
+
+func answered(status int) step {
+	return func(o *carrier.Order) (*carrier.Answer, error) {
+		return &carrier.Answer{Status: status, Header: http.Header{}, Body: []byte(o.Instance)}, nil
+	}
+}
+
+func failed(f carrier.Failure) step {
+	return func(*carrier.Order) (*carrier.Answer, error) { return nil, &f }
+}
+
+var (
+	busy        = failed(carrier.Failure{Failure: classifier.Fail(classifier.NotRun, "target busy", nil), Told: true, Pause: 70 * time.Millisecond})
+	shed        = failed(carrier.Failure{Failure: classifier.Fail(classifier.NotRun, "target refused it", nil), Told: true, Arrived: true, Pause: 50 * time.Millisecond})
+	unreachable = failed(carrier.Failure{Failure: classifier.Fail(classifier.NotRun, "no connection", errors.New("refused"))})
+	broken      = failed(carrier.Failure{Failure: classifier.Fail(classifier.MayHaveRun, "connection broke", nil), Arrived: true})
+	brokenBack  = failed(carrier.Failure{Failure: classifier.Fail(classifier.Ran, "answer of the target broke off", nil), Told: true, Arrived: true})
+)
+
+// rig is a dispatcher whose sends are played from a list.
+type rig struct {
+	*dispatcher.Dispatcher
+	steps  []step
+	orders []*carrier.Order
+	ending dispatcher.Ending
+	pool   dispatcher.Pool
+}
+
+func newRig(kind matcher.Kind, targets int, steps ...step) *rig {
+	r := &rig{steps: steps}
+	for i := range targets {
+		r.pool.Targets = append(r.pool.Targets, chooser.Target{
+			Daemon:   fmt.Sprint("vm-", i),
+			Instance: fmt.Sprint("i-", i),
+			Version:  "v1",
+			Slots:    4,
+		})
+	}
+	rule := matcher.Rule{
+		Name:      "pay",
+		Prefix:    "/pay/",
+		Kind:      kind,
+		Parts:     []matcher.Part{{Service: "s", Weight: 1}},
+		Timeout:   time.Second,
+		Objective: 300 * time.Millisecond,
+		Attempts:  2,
+	}
+	plan := matcher.New(5, matcher.Limits{}, nil, map[string][]matcher.Rule{"a.example": {rule}})
+	budget := &dispatcher.Budget{Daemons: func() int { return 1 }}
+	budget.Set(0.2, 60)
+	r.Dispatcher = &dispatcher.Dispatcher{
+		Daemon: "vm-self",
+		Caller: "caller",
+		Plan:   func() *matcher.Plan { return plan },
+		Pool:   func(string) dispatcher.Pool { return r.pool },
+		Client: func(h http.Header) (dispatcher.Client, error) {
+			if h.Get("Left") == "" {
+				return dispatcher.Client{ID: h.Get("Id")}, nil
+			}
+			left, err := time.ParseDuration(h.Get("Left"))
+			return dispatcher.Client{ID: h.Get("Id"), Left: left}, err
+		},
+		Send: func(_ context.Context, _ string, o *carrier.Order) (*carrier.Answer, error) {
+			r.orders = append(r.orders, o)
+			if len(r.steps) == 0 {
+				return nil, &carrier.Failure{Failure: classifier.Fail(classifier.MayHaveRun, "not expected", nil), Arrived: true}
+			}
+			s := r.steps[0]
+			r.steps = r.steps[1:]
+			return s(o)
+		},
+		Chooser: chooser.New(timekeeper.System{}),
+		Budget:  budget,
+		Clock:   timekeeper.System{},
+		Observe: func(e dispatcher.Ending) { r.ending = e },
+	}
+	return r
+}
+
+func (r *rig) call(path, header string) *receiver.Response {
+	text := "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nId: id-1\r\n" + header + "\r\n"
+	request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+	if err != nil {
+		panic(err)
+	}
+	return r.Handle(context.Background(), &receiver.Request{
+		Request: request,
+		Body:    []byte("body"),
+		Began:   time.Now(),
+	})
+}
+
+func TestHandle(t *testing.T) {
+	const once, idempotent = matcher.Once, matcher.Idempotent
+	for name, test := range map[string]struct {
+		kind    matcher.Kind
+		targets int
+		steps   []step
+		status  int
+		sends   int
+	}{
+		"answered":                        {kind: once, targets: 3, steps: []step{answered(200)}, status: 200, sends: 1},
+		"no target":                       {kind: once, status: 503},
+		"busy, then free":                 {kind: once, targets: 3, steps: []step{busy, busy, answered(200)}, status: 200, sends: 3},
+		"all busy, then queued":           {kind: once, targets: 2, steps: []step{busy, busy, answered(200)}, status: 200, sends: 3},
+		"all busy":                        {kind: once, targets: 2, steps: []step{busy, busy, busy, busy, busy, busy}, status: 503, sends: 4},
+		"unreachable, then answered":      {kind: once, targets: 3, steps: []step{unreachable, answered(200)}, status: 200, sends: 2},
+		"shed, then answered":             {kind: once, targets: 3, steps: []step{shed, answered(200)}, status: 200, sends: 2},
+		"shed by as many as are allowed":  {kind: once, targets: 5, steps: []step{shed, shed, shed}, status: 503, sends: 2},
+		"may have run":                    {kind: once, targets: 3, steps: []step{broken}, status: 502, sends: 1},
+		"ran":                             {kind: once, targets: 3, steps: []step{brokenBack}, status: 502, sends: 1},
+		"failed":                          {kind: once, targets: 3, steps: []step{answered(500)}, status: 500, sends: 1},
+		"may have run, repeated":          {kind: idempotent, targets: 3, steps: []step{broken, answered(200)}, status: 200, sends: 2},
+		"failed, repeated":                {kind: idempotent, targets: 3, steps: []step{answered(500), answered(200)}, status: 200, sends: 2},
+		"failed, then refused":            {kind: idempotent, targets: 3, steps: []step{answered(500), busy, busy, busy, busy}, status: 500, sends: 5},
+		"may have run, then refused":      {kind: idempotent, targets: 2, steps: []step{broken, busy, busy, busy}, status: 502, sends: 3},
+		"failed by as many as allowed":    {kind: idempotent, targets: 5, steps: []step{answered(500), answered(500), answered(200)}, status: 500, sends: 2},
+		"out of time at the target":       {kind: idempotent, targets: 3, steps: []step{answered(504)}, status: 504, sends: 1},
+		"refusals do not use up attempts": {kind: idempotent, targets: 5, steps: []step{busy, unreachable, broken, answered(200)}, status: 200, sends: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(test.kind, test.targets, test.steps...)
+			resp := r.call("/pay/1", "")
+			if resp.Status != test.status || len(r.orders) != test.sends {
+				t.Errorf("status %d after %d sends, want %d after %d", resp.Status, len(r.orders), test.status, test.sends)
+			}
+			if resp.Status == 503 {
+				after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+				if err != nil || after <= 0 {
+					t.Errorf("Retry-After %q", resp.Header.Get("Retry-After"))
+				}
+			}
+			if r.ending.Status != resp.Status || r.ending.ID != "id-1" || r.ending.Sends != test.sends {
+				t.Errorf("observed %+v", r.ending)
+			}
+		})
+	}
+}
+
+func TestRefusalsOfItsOwn(t *testing.T) {
+	r := newRig(matcher.Once, 1, answered(200))
+	if resp := r.call("/other/", ""); resp.Status != 404 {
+		t.Errorf("no rule: %d", resp.Status)
+	}
+	if resp := r.call("/pay/", "Left: soon\r\n"); resp.Status != 400 {
+		t.Errorf("bad header: %d", resp.Status)
+	}
+	r.Plan = func() *matcher.Plan { return nil }
+	if resp := r.call("/pay/", ""); resp.Status != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("no plan: %+v", resp)
+	}
+	if len(r.orders) != 0 {
+		t.Errorf("%d sends", len(r.orders))
+	}
+}
+
+// TestOrderCarriesTheTime hands over the shorter of the client's time and the
+// rule's.
+func TestOrderCarriesTheTime(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"":                time.Second,
+		"Left: 250ms\r\n": 250 * time.Millisecond,
+		"Left: 5s\r\n":    time.Second,
+	} {
+		r := newRig(matcher.Once, 1, answered(200))
+		before := time.Now()
+		r.call("/pay/", header)
+		left := r.orders[0].Deadline.Sub(before)
+		if left > want || left < want-50*time.Millisecond {
+			t.Errorf("%q: %v left, want %v", header, left, want)
+		}
+		if r.orders[0].Caller != "caller" || string(r.orders[0].Body) != "body" {
+			t.Errorf("%+v", r.orders[0])
+		}
+	}
+}
+
+// TestBudget repeats no more than its share over many requests.
+func TestBudget(t *testing.T) {
+	r := newRig(matcher.Idempotent, 3)
+	const requests = 2000
+	for range requests {
+		r.steps = []step{broken, broken}
+		r.call("/pay/", "")
+	}
+	repeats := len(r.orders) - requests
+	if limit := requests/5 + 60; repeats > limit {
+		t.Errorf("%d repeats of %d requests, allowed %d", repeats, requests, limit)
+	}
+	if repeats < requests/50 {
+		t.Errorf("%d repeats of %d requests", repeats, requests)
+	}
+}
+
+func TestTrialGetsItsShare(t *testing.T) {
+	r := newRig(matcher.Once, 2)
+	r.pool.Trial = []chooser.Target{{Daemon: "vm-t", Instance: "i-t", Version: "v2", Slots: 4}}
+	for _, share := range []float64{0, 0.03, 0.3, 1} {
+		r.pool.Share = share
+		trial := 0
+		for range 1000 {
+			r.steps = []step{answered(200)}
+			if string(r.call("/pay/", "").Body) == "i-t" {
+				trial++
+			}
+		}
+		if want := int(share * 1000); trial < want-1 || trial > want+1 {
+			t.Errorf("share %v: %d of 1000", share, trial)
+		}
+	}
+	r.pool.Share = 0.5
+	r.pool.Targets = nil
+	r.steps = []step{answered(200), answered(200)}
+	statuses := map[int]int{}
+	for range 2 {
+		statuses[r.call("/pay/", "").Status]++
+	}
+	if statuses[503] != 1 {
+		t.Errorf("%v: requests that are not of the trial must not fall back on it", statuses)
+	}
+}
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -65,7 +65,7 @@
 const settleTime = 1300 * time.Millisecond
 
 // ramp is the shares between the first one and all.
-var ramp = []float64{0.1, 0.2, 0.4}
+var ramp = []float64{0.06, 0.15, 0.3}
 
 // Share returns the part of the requests that the new version gets once an
 // order has stood for some time.
