Quarantine requests that crash targets; give silent daemons longer

Requests that crash targets were not screened on the users' platform. Change: a silent daemon is avoided after 150 ms as before, an order given up after 0.4 of its time and never by a daemon that stops; the quarantine is wired into the daemon. Its test fails without the screen: four targets crash.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -191,18 +191,37 @@
 			var told atomic.Bool
 			c := newClient()
 			c.Silent = func(string) { told.Store(true) }
+			test.order.Deadline = time.Now().Add(2 * time.Second)
 			start := time.Now()
 			_, err = c.Send(t.Context(), ln.Addr().String(), test.order)
 			if classifier.Of(err) != test.want || !told.Load() {
 				t.Errorf("%v, told %v", err, told.Load())
 			}
-			if took := time.Since(start); took > 10*time.Second {
+			if took := time.Since(start); took > 1900*time.Millisecond {
 				t.Errorf("given up after %v", took)
 			}
 		})
 	}
 }
 
+// TestKeptOrder is not given up for a daemon's silence while that is asked for,
+// as during a shutdown.
+func TestKeptOrder(t *testing.T) {
+	address := serve(t, func(context.Context, *carrier.Order) (*carrier.Answer, error) {
+		time.Sleep(600 * time.Millisecond)
+		return &carrier.Answer{Status: 200}, nil
+	})
+	for _, keep := range []bool{true, false} {
+		c := newClient()
+		c.Keep = func() bool { return keep }
+		o := order(matcher.Idempotent, "")
+		o.Deadline = time.Now().Add(time.Second)
+		if _, err := c.Send(t.Context(), address, o); (err == nil) != keep {
+			t.Errorf("kept %v: %v", keep, err)
+		}
+	}
+}
+
 // TestBrokenDaemon breaks the connection at different points.
 func TestBrokenDaemon(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -19,10 +19,15 @@
 
 // Times and sizes of the way between daemons.
 const (
-	// silence is how long a daemon may say nothing of an order that it was
-	// sent: a daemon says at once that it has handed an order over, refuses it,
-	// or that it has queued it.
+	// silence is how long a daemon may say nothing of an order that it was sent
+	// before it is avoided: a daemon says at once that it has handed an order
+	// over, refuses it, or that it has queued it.
 	silence = 150 * time.Millisecond
+	// minGiveUp and giveUpShare bound the same time after which the order is
+	// given up, by the time that it has left: a daemon on a slow machine or
+	// link may need some hundred milliseconds.
+	minGiveUp   = 200 * time.Millisecond
+	giveUpShare = 0.4
 	// expectBytes is the size from which a body is sent only once it is asked
 	// for.
 	expectBytes = 8 << 10
@@ -38,6 +43,9 @@
 	Transport http.RoundTripper
 	// Silent is told of a daemon that has said nothing for too long.
 	Silent func(address string)
+	// Keep reports whether orders are to be kept although their daemons are
+	// silent; nil means never.
+	Keep func() bool
 }
 
 // Send sends an order to the daemon at an address. Its error is a *Failure.
@@ -53,11 +61,15 @@
 			return
 		}
 		c.Silent(address)
-		if o.Kind == matcher.Idempotent || !body.Begun() {
+	})
+	defer watch.Stop()
+	last := time.AfterFunc(max(minGiveUp, time.Duration(giveUpShare*float64(time.Until(o.Deadline)))), func() {
+		mayGiveUp := o.Kind == matcher.Idempotent || !body.Begun()
+		if !heard.Load() && mayGiveUp && (c.Keep == nil || !c.Keep()) {
 			giveUp(errSilent)
 		}
 	})
-	defer watch.Stop()
+	defer last.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
 			heard.Store(true)
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -37,8 +37,9 @@
 	Codec     Codec
 	Clock     timekeeper.Clock
 	// Screen looks at an order that is about to be handed over and may refuse
-	// it; done, if not nil, is called when it has ended.
-	Screen func(o *carrier.Order) (done func(crashed bool), err error)
+	// it; done is told, once it has ended, whether the connection to the target
+	// broke.
+	Screen func(o *carrier.Order) (done func(broke bool), err error)
 	// Observe is told how each order that was handed over has ended, and Refused
 	// of each that the gate refused.
 	Observe func(o *carrier.Order, e Ending)
@@ -131,7 +132,7 @@
 }
 
 // run hands the order to the target and takes its answer.
-func (d *Deliverer) run(ctx context.Context, o *carrier.Order) (*carrier.Answer, Ending) {
+func (d *Deliverer) run(ctx context.Context, o *carrier.Order) (answer *carrier.Answer, ending Ending) {
 	start := d.Clock.Now()
 	if err := carrier.ReadBody(ctx); err != nil {
 		return nil, Ending{Err: classifier.Fail(classifier.NotRun, "body broke off", err), Cut: true}
@@ -140,17 +141,17 @@
 	if err != nil {
 		return nil, Ending{Err: err, Cut: true}
 	}
+	defer func() { done(ending.Err != nil && ctx.Err() == nil && broken(ending.Err)) }()
 	carrier.Started(ctx)
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	resp, err := forwarder.RoundTrip(d.Transport, d.request(traced, o))
-	var answer *carrier.Answer
 	if err == nil {
 		answer, err = d.take(resp, o)
 	}
-	ending := Ending{
+	ending = Ending{
 		Duration: d.Clock.Now().Sub(start),
 		Err:      err,
 		Cut:      ctx.Err() == context.Canceled,
@@ -162,9 +163,6 @@
 	if err != nil && ctx.Err() == nil && !connected.Load() {
 		d.Gate.Doubt()
 	}
-	if done != nil {
-		done(err != nil && ctx.Err() == nil && broken(err))
-	}
 	return answer, ending
 }
 
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -61,6 +61,7 @@
 	sequence int
 	cold     time.Duration
 	leaving  bool
+	deadly   string
 	faults   BackendFaults
 	failures float64
 	arrivals []Arrival
@@ -94,6 +95,13 @@
 	_ = b.server.Close()
 }
 
+// CrashOn makes the target crash when it gets a request with a body.
+func (b *Backend) CrashOn(body string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.deadly = body
+}
+
 // Address returns where the target listens.
 func (b *Backend) Address() string { return b.listener.Addr().String() }
 
@@ -191,6 +199,10 @@
 		return
 	}
 	defer b.done()
+	if b.isDeadly(string(body)) {
+		b.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(b.Work + f.Slow):
 	case <-r.Context().Done():
@@ -241,6 +253,12 @@
 	return b.faults, true, fails
 }
 
+func (b *Backend) isDeadly(body string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.deadly != "" && b.deadly == body
+}
+
 func (b *Backend) done() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -20,6 +20,7 @@
 	copyMethod     = "copy"
 	withdrawMethod = "withdraw"
 	newsMethod     = "news"
+	crashMethod    = "crash"
 )
 
 // Times of finding and keeping up with other daemons.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -27,6 +27,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
+	"github.com/coltsfootlane/coltsfootlane/internal/quarantiner"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 	"github.com/coltsfootlane/coltsfootlane/internal/shifter"
 	"github.com/coltsfootlane/coltsfootlane/internal/spreader"
@@ -114,6 +115,8 @@
 	receiver           *receiver.Server
 	judge              shifter.Judge
 	budget             *dispatcher.Budget
+	// crashes finds the requests that crash targets.
+	crashes *quarantiner.Quarantiner
 
 	// view is what requests are handled by.
 	view     atomic.Pointer[view]
@@ -210,6 +213,7 @@
 		Daemons: func() int { return d.members.Counts().Live() },
 	}
 	d.budget.Set(s.Sidecar.RetryRatio, s.Sidecar.RetrySlack)
+	d.crashes = quarantiner.New(o.Clock)
 	d.gate = &admitter.Gate{
 		Clock:  o.Clock,
 		Closed: d.closed,
@@ -227,6 +231,7 @@
 	d.receiver = d.newReceiver()
 	linker.Handle(d.control, memberMethod, d.answerMember)
 	linker.Handle(d.control, joinMethod, d.answerJoin)
+	linker.Handle(d.control, crashMethod, d.answerCrash)
 	linker.Handle(d.control, newsMethod, d.answerNews)
 	linker.Handle(d.control, withdrawMethod, d.answerWithdraw)
 	linker.Handle(d.control, copyMethod, d.answerCopy)
@@ -244,6 +249,7 @@
 			Idle:        peerIdle,
 		}),
 		Silent: d.silent,
+		Keep:   d.leaving.Load,
 	}
 	dispatch := &dispatcher.Dispatcher{
 		Daemon:  d.settings.Name,
@@ -277,7 +283,7 @@
 		}),
 		Codec:   d.platform.Codec,
 		Clock:   d.clock,
-		Screen:  func(*carrier.Order) (func(bool), error) { return nil, nil },
+		Screen:  d.screen,
 		Observe: d.observeOrder,
 		Refused: d.observeRefused,
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -623,3 +623,34 @@
 		t.Errorf("%d requests ran, want 30", len(runs))
 	}
 }
+
+// TestCrashingRequest sends a request again that ends each target which runs it:
+// it is refused once it has ended two.
+func TestCrashingRequest(t *testing.T) {
+	m := newMesh(t)
+	for range 4 {
+		m.add("zilina", "renewal", "v1")
+	}
+	m.plan(1, rule{prefix: "/u/", kind: "unsafe", service: "renewal"})
+	m.awaitMembers()
+	for _, n := range m.nodes {
+		m.await("own target", func() bool { return n.call("POST", "/u/", "w", "well").status == 200 })
+		n.backend.CrashOn("poison")
+	}
+	entry := m.nodes[0]
+	for i := range 12 {
+		entry.call("POST", "/u/", fmt.Sprint("p-", i), "poison")
+		time.Sleep(200 * time.Millisecond)
+	}
+	crashed := 0
+	for _, n := range m.nodes {
+		for _, a := range n.backend.Arrivals() {
+			if a.Body == "poison" {
+				crashed++
+			}
+		}
+	}
+	if crashed != 2 {
+		t.Errorf("%d targets have run the request that ends them, want 2", crashed)
+	}
+}
