Keep targets of zones that seem out of reach; split files by job

Cause: TestLeavingTarget failed once beside load: a zone whose gateways were slow passed for out of reach, and requests were refused though its target was there. Ruled out: the leaving itself; the refusals had no target at all. Change: such targets stay in the pool behind all others.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
@@ -103,11 +102,6 @@
 	timer   *time.Timer
 }
 
-type waiter struct {
-	ask     Ask
-	granted chan error
-}
-
 // Announce takes in what the target said of itself.
 func (g *Gate) Announce(t Target) {
 	g.mu.Lock()
@@ -147,33 +141,6 @@
 	return *g.target, true
 }
 
-// Load returns the load that is told to others for a rule.
-func (g *Gate) Load(rule string) chooser.Load {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	l := chooser.Load{
-		Running: g.running,
-		Queued:  len(g.queue),
-		Work:    g.work[rule],
-		Failing: g.failing,
-		Faulty:  g.faulty,
-	}
-	if g.target != nil {
-		l.Slots = g.target.Slots
-	}
-	if wait := g.coldWait(g.Clock.Now()); wait > 0 {
-		l.Wait = wait + time.Duration(float64(len(g.queue))*float64(time.Second)/g.coldRate())
-	}
-	return l
-}
-
-// Running returns the number of requests at the target.
-func (g *Gate) Running() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.running
-}
-
 // Enter waits for a slot. A refusal is always NotRun; after nil, Leave has to
 // be called.
 func (g *Gate) Enter(ctx context.Context, a Ask) error {
@@ -247,65 +214,6 @@
 	return nil
 }
 
-// standing reports whether requests have been waiting for so long that the queue
-// is no burst: one that lasts only makes every answer late.
-func (g *Gate) standing(now time.Time) bool {
-	if len(g.queue) == 0 {
-		g.emptyAt = now
-	}
-	return now.Sub(g.emptyAt) > burstTime
-}
-
-// makeRoom reports whether there is room in the queue, and makes some by
-// refusing the last waiter if that ranks lower.
-func (g *Gate) makeRoom(a Ask) bool {
-	if len(g.queue) < maxQueue*g.target.Slots {
-		return true
-	}
-	last := g.queue[len(g.queue)-1]
-	if last.ask.Rank <= a.Rank {
-		return false
-	}
-	g.queue = g.queue[:len(g.queue)-1]
-	last.granted <- ErrBusy
-	return true
-}
-
-// insert queues a waiter behind those of its rank.
-func (g *Gate) insert(w *waiter) {
-	i := len(g.queue)
-	for i > 0 && g.queue[i-1].ask.Rank > w.ask.Rank {
-		i--
-	}
-	g.queue = append(g.queue, nil)
-	copy(g.queue[i+1:], g.queue[i:])
-	g.queue[i] = w
-}
-
-// expectedWait estimates how long a request would queue.
-func (g *Gate) expectedWait(a Ask, cold time.Duration) time.Duration {
-	ahead := 0
-	work := g.expected(a.Rule)
-	for _, w := range g.queue {
-		if w.ask.Rank <= a.Rank {
-			ahead++
-			work += g.expected(w.ask.Rule)
-		}
-	}
-	wait := work / time.Duration(max(1, g.target.Slots))
-	if g.cold(g.Clock.Now()) {
-		wait = max(wait, cold+time.Duration(float64(ahead)*float64(time.Second)/g.coldRate()))
-	}
-	return wait
-}
-
-func (g *Gate) expected(rule string) time.Duration {
-	if work, ok := g.work[rule]; ok {
-		return work
-	}
-	return defaultWork
-}
-
 func (g *Gate) cold(now time.Time) bool { return g.unsure || now.Before(g.coldUntil) }
 
 // coldRate returns the requests a second that the target bears while cold.
@@ -344,75 +252,6 @@
 	g.sent = g.sent[stale:]
 }
 
-// serveQueue grants slots to waiters, and refuses those that the target must
-// not get any more. The caller holds the lock.
-func (g *Gate) serveQueue() {
-	now := g.Clock.Now()
-	kept := g.queue[:0]
-	for _, w := range g.queue {
-		err := g.check(w.ask, now)
-		switch {
-		case err == ErrShort:
-			w.granted <- ErrWaited
-		case err != nil:
-			w.granted <- err
-		case g.free(now):
-			g.grant(now)
-			w.granted <- nil
-		default:
-			kept = append(kept, w)
-		}
-	}
-	clear(g.queue[len(kept):])
-	g.queue = kept
-	if len(kept) == 0 {
-		g.emptyAt = now
-	}
-	g.setTimer(now)
-}
-
-// setTimer looks at the queue again when a cold target takes the next request,
-// or when the first waiter runs short of time.
-func (g *Gate) setTimer(now time.Time) {
-	if len(g.queue) == 0 {
-		return
-	}
-	next := coldWindow
-	if wait := g.coldWait(now); wait > 0 && g.running < g.target.Slots {
-		next = wait
-	}
-	for _, w := range g.queue {
-		spare := time.Duration(shortestRun * float64(g.expected(w.ask.Rule)))
-		next = min(next, w.ask.Deadline.Sub(now)-spare+time.Millisecond)
-	}
-	if g.timer != nil {
-		g.timer.Stop()
-	}
-	g.timer = time.AfterFunc(max(next, time.Millisecond), g.Recheck)
-}
-
-func (g *Gate) withdraw(w *waiter) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for i, q := range g.queue {
-		if q == w {
-			g.queue = append(g.queue[:i], g.queue[i+1:]...)
-			return true
-		}
-	}
-	return false
-}
-
-// Outcome is how a request at the target ended.
-type Outcome struct {
-	Duration time.Duration
-	// Failed means that the target failed it, and TurnedAway that it did not run
-	// it.
-	Failed, TurnedAway bool
-	// Cut means that it was broken off, so that Duration is a lower bound.
-	Cut bool
-}
-
 // Leave frees a slot.
 func (g *Gate) Leave(rule string, o Outcome) {
 	g.mu.Lock()
@@ -424,41 +263,6 @@
 	g.serveQueue()
 }
 
-func (g *Gate) learn(rule string, o Outcome) {
-	if g.work == nil {
-		g.work = map[string]time.Duration{}
-	}
-	g.failing -= failingShare * g.failing
-	if o.TurnedAway {
-		g.failing += failingShare
-		return
-	}
-	g.faulty -= failingShare * g.faulty
-	if o.Failed {
-		g.failing += failingShare
-		g.faulty += failingShare
-		return
-	}
-	mean, known := g.work[rule]
-	if !known {
-		g.work[rule] = o.Duration
-		return
-	}
-	g.work[rule] = mean + time.Duration(workShare*float64(o.Duration-mean))
-}
-
-// Pause returns how long a refused client is to wait for a free slot.
-func (g *Gate) Pause(rule string) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	slots := 1
-	if g.target != nil {
-		slots = max(1, g.target.Slots)
-	}
-	wait := g.expected(rule) * time.Duration(1+len(g.queue)) / time.Duration(slots)
-	return max(minWait, wait, g.coldWait(g.Clock.Now()))
-}
-
 // Cold reports whether the target is taken to be cold.
 func (g *Gate) Cold() bool {
 	g.mu.Lock()
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -59,8 +59,10 @@
 	Version  string
 	Zone     string
 	// Near means that it stands in the chooser's own zone.
-	Near  bool
-	Slots int
+	Near bool
+	// Doubtful means that its zone seems to be out of reach.
+	Doubtful bool
+	Slots    int
 }
 
 // Load is what a target's daemon tells of it with each answer.
@@ -181,7 +183,7 @@
 	if wait := s.avoidUntil.Sub(now); wait > 0 {
 		cost += wait
 	}
-	if s.suspectUntil.After(now) {
+	if s.suspectUntil.After(now) || t.Doubtful {
 		cost += suspectPenalty
 	}
 	return cost
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -100,6 +100,16 @@
 			targets: []chooser.Target{near("a")},
 			want:    "a",
 		},
+		"not out of reach": {
+			wanted:  wanted,
+			targets: []chooser.Target{{Instance: "a", Slots: 4, Doubtful: true}, far("b")},
+			want:    "b",
+		},
+		"out of reach rather than none": {
+			wanted:  wanted,
+			targets: []chooser.Target{{Instance: "a", Slots: 4, Doubtful: true}},
+			want:    "a",
+		},
 		"avoided": {
 			wanted:  chooser.Wanted{Rule: "status", Avoid: func(i string) bool { return i == "a" }},
 			targets: []chooser.Target{near("a"), far("b")},
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
@@ -184,7 +185,7 @@
 // those of the version that it is moved to.
 func (d *Daemon) serviceView(service string, v *view) *serviceView {
 	s := &serviceView{}
-	members := d.members.OfService(service)
+	members := d.serving(service)
 	if o, ok := d.declared.Orders[service]; ok {
 		s.order = &o
 		s.heard = d.heardOrder[o.Revision]
@@ -227,6 +228,15 @@
 	return s
 }
 
+// serving returns the members whose targets take requests of a service, also
+// those in zones that seem to be out of reach: the requests themselves show
+// whether they are.
+func (d *Daemon) serving(service string) []prober.Member {
+	return slices.DeleteFunc(d.members.All(), func(m prober.Member) bool {
+		return !m.Serves() || m.Target.Service != service
+	})
+}
+
 // baseOf returns the version that carries a service's requests. It stays until a
 // move is done or none of its targets is left.
 func (d *Daemon) baseOf(service string, s *serviceView, members []prober.Member) string {
@@ -264,6 +274,7 @@
 		Version:  m.Target.Version,
 		Zone:     m.DC,
 		Near:     m.DC == d.settings.DC,
+		Doubtful: m.DC != d.settings.DC && !d.members.Reachable(m.DC),
 		Slots:    m.Target.Slots,
 	}
 }
