--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -6,8 +6,11 @@
 	"maps"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/coltsfootlane/coltsfootlane/internal/follower"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 	"github.com/coltsfootlane/coltsfootlane/internal/storer"
@@ -248,19 +251,7 @@
 	}
 	delete(found, d.settings.Name)
 	d.remember(found)
-	joined := 0
-	for name, address := range found {
-		if m, ok := d.members.Get(name); ok && m.Status <= prober.Suspect {
-			continue
-		}
-		if err := d.joinThrough(ctx, address); err != nil {
-			d.log.Debug("daemon not reached", "peer", name, "err", err)
-			continue
-		}
-		if joined++; joined == joinTries {
-			break
-		}
-	}
+	joined := d.joinSome(ctx, found)
 	if joined > 0 {
 		d.log.Info("joined", "found", len(found), "through", joined, "live", d.members.Counts().Live())
 		d.tell(d.members.Self())
@@ -270,6 +261,32 @@
 	return nil
 }
 
+// joinSome joins through some of the daemons that were found and are not known,
+// side by side, since those that have died answer only by a time-out.
+func (d *Daemon) joinSome(ctx context.Context, found map[string]string) int {
+	var joined atomic.Int32
+	var group errgroup.Group
+	group.SetLimit(joinTries)
+	for name, address := range found {
+		if m, ok := d.members.Get(name); ok && m.Status <= prober.Suspect {
+			continue
+		}
+		if joined.Load() >= joinTries {
+			break
+		}
+		group.Go(func() error {
+			if err := d.joinThrough(ctx, address); err != nil {
+				d.log.Debug("daemon not reached", "peer", name, "err", err)
+				return nil
+			}
+			joined.Add(1)
+			return nil
+		})
+	}
+	_ = group.Wait() // no function returns an error
+	return int(joined.Load())
+}
+
 // remember keeps the control addresses of other daemons.
 func (d *Daemon) remember(addresses map[string]string) {
 	d.knownMu.Lock()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -100,12 +100,16 @@
 // finds its port free.
 var nextPort atomic.Int32
 
+// host is an address of the loopback that no other test process uses, so that
+// none takes the port of a daemon that is stopped and started again.
+var host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), os.Getpid()>>8&0xff, 1+os.Getpid()&0x7f)
+
 func init() { nextPort.Store(15000 + rand.Int32N(12000)) }
 
 // free returns an address of the loopback that nothing listens on.
 func (m *mesh) free() string {
 	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))
+		address := fmt.Sprintf("%s:%d", host, nextPort.Add(1))
 		ln, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = ln.Close()
@@ -130,7 +134,7 @@
 			Clock:   timekeeper.System{},
 		},
 	}
-	if err := n.backend.Start("127.0.0.1:0", "i-"+name); err != nil {
+	if err := n.backend.Start(m.free(), "i-"+name); err != nil {
 		m.t.Fatal(err)
 	}
 	n.settings = loader.Settings{
@@ -654,3 +658,28 @@
 		t.Errorf("%d targets have run the request that ends them, want 2", crashed)
 	}
 }
+
+// TestManyFoundDaemonsAreDead starts a daemon whose list of others holds many
+// that are gone and answer nothing.
+func TestManyFoundDaemonsAreDead(t *testing.T) {
+	m := newMesh(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	for i := range 9 {
+		m.records.Put(fmt.Sprintf("coltsfootlane/daemons/gone-%d", i), []byte(silent.Addr().String()))
+	}
+	m.plan(1, safe)
+	a := m.add("zilina", "renewal", "v1")
+	b := m.add("martin", "renewal", "v1")
+	started := time.Now()
+	m.await("serving", func() bool {
+		return a.call("GET", "/s/", "id", "").status == 200 && b.call("GET", "/s/", "id", "").status == 200
+	})
+	m.awaitMembers()
+	if took := time.Since(started); took > 15*time.Second {
+		t.Errorf("members known after %v", took)
+	}
+}
