Wait for a daemon's listeners to close before Run returns

Ruled out: another process (each has its address now; that stays). Conclusion: Run waits for what it has started.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -315,8 +315,9 @@
 // Run serves until ctx ends and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	stopped, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
 	defer stop()
-	failed := make(chan error, 1)
 	listeners := map[string]func(context.Context, net.Listener) error{
 		d.settings.Listen.Traffic:  d.receiver.Serve,
 		d.settings.Listen.Admit:    serveHTTP(d.inbound),
@@ -325,19 +326,20 @@
 		d.sidecar.Ready:            serveHTTP(http.HandlerFunc(d.serveReady)),
 		d.sidecar.Metrics:          serveHTTP(http.HandlerFunc(d.serveMetrics)),
 	}
+	failed := make(chan error, len(listeners))
 	for address, serve := range listeners {
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
 			return Class.New("listen on %s: %w", address, err)
 		}
-		go func() {
+		running.Go(func() {
 			if err := serve(stopped, ln); err != nil {
 				failed <- Class.New("serve %s: %w", address, err)
 			}
-		}()
+		})
 	}
 	for _, run := range []func(context.Context){d.operator.Run, d.outcomes.Run, d.relay, d.gossip, d.register, d.learnFromPeers, d.keepMoves, d.watchTarget} {
-		go run(stopped)
+		running.Go(func() { run(stopped) })
 	}
 	d.log.Info("daemon started", "service", d.sidecar.Service, "traffic", d.settings.Listen.Traffic, "admit", d.settings.Listen.Admit)
 	select {
