Send requests to a new member at once, not at the next tick

Requests go by a view of the members that was made anew ten times a second, so that a daemon refused requests for up to 100 ms after it had learned of the only target left. The test asked the members' table, which was ahead of the view. Ruled out: zones that seem out of reach (no such line in the log) and the target's gate (it was never asked). Change: the table tells of changes, and the view follows within 2 ms, or longer in large fleets, by a bound on its part of the processor. One sorted list of the members serves all services. The gauge member.targets tells what the view has.

--- a/internal/prober/table.go
+++ b/internal/prober/table.go
@@ -29,6 +29,8 @@
 	// index holds the members that serve each version. The map is replaced
 	// when a version is new; its groups change in place.
 	index atomic.Pointer[map[serviceVersion]*group]
+	// changed is sent to when a member or a data centre changes; it may be nil.
+	changed chan<- struct{}
 }
 
 // dataCentre is what is known of one data centre as a whole.
@@ -66,6 +68,21 @@
 	return t
 }
 
+// Notify sends to a channel, without waiting, whenever a member or the
+// reachability of a data centre changes.
+func (t *Table) Notify(changed chan<- struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changed = changed
+}
+
+func (t *Table) notify() {
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
 // Self returns the daemon itself.
 func (t *Table) Self() Member {
 	t.mu.RLock()
@@ -123,6 +140,7 @@
 	c.count(b, m, 1)
 	t.counts[m.Status]++
 	t.regroup(old, m)
+	t.notify()
 }
 
 // remove takes a member out.
@@ -130,6 +148,7 @@
 	t.uncount(m)
 	delete(t.members, m.ID)
 	t.regroup(m, Member{})
+	t.notify()
 }
 
 // uncount takes a member out of its data centre, unless it is the zero one.
@@ -289,6 +308,7 @@
 	for _, g := range *t.index.Load() {
 		t.publish(g)
 	}
+	t.notify()
 }
 
 // DataCentres returns the names of the data centres with members, in order.
--- a/internal/prober/table_test.go
+++ b/internal/prober/table_test.go
@@ -184,3 +184,37 @@
 		t.Error("another data centre declared a member dead")
 	}
 }
+
+// TestTableNotifies counts the changes that are told of.
+func TestTableNotifies(t *testing.T) {
+	table := prober.NewTable(prober.Member{ID: "a", DC: "x", Admit: "127.0.0.1:1", Control: "127.0.0.1:2", Incarnation: 1})
+	changed := make(chan struct{}, 1)
+	table.Notify(changed)
+	told := func() bool {
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	b := prober.Member{ID: "b", DC: "y", Admit: "127.0.0.1:3", Control: "127.0.0.1:4", Incarnation: 1}
+	for _, step := range []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"new member", func() { table.Merge(b) }, true},
+		{"the same again", func() { table.Merge(b) }, false},
+		{"gone", func() { table.Merge(b.WithStatus(prober.Left)) }, true},
+		{"own change", func() { table.Update(func(m prober.Member) prober.Member { return m.WithTarget(&prober.Target{Service: "s", Version: "v"}) }) }, true},
+		{"data centre out of reach", func() { table.SetReachable("y", false) }, true},
+		{"data centre still out of reach", func() { table.SetReachable("y", false) }, false},
+		{"two without a reader", func() { table.SetReachable("y", true); table.SetReachable("y", false) }, true},
+	} {
+		step.do()
+		if got := told(); got != step.want {
+			t.Errorf("%s: told %v, want %v", step.name, got, step.want)
+		}
+	}
+}
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -57,7 +57,6 @@
 		select {
 		case <-ticker.C:
 			d.exchange(d.prober.Tick())
-			d.refresh()
 		case <-ctx.Done():
 			return
 		}
@@ -255,7 +254,6 @@
 	if joined > 0 {
 		d.log.Info("joined", "found", len(found), "through", joined, "live", d.members.Counts().Live())
 		d.tell(d.members.Self())
-		d.refresh()
 	}
 	d.joined.Store(true)
 	return nil
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -96,15 +96,9 @@
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	counts := d.members.Counts()
 	metrics.GetOrRegisterGauge("member.live", d.metrics).Update(int64(counts.Live()))
-	targets := 0
-	for _, m := range d.members.All() {
-		if m.Serves() {
-			targets++
-		}
-	}
-	metrics.GetOrRegisterGauge("member.targets", d.metrics).Update(int64(targets))
-	if p := d.plan(); p != nil {
-		metrics.GetOrRegisterGauge("plan.version", d.metrics).Update(int64(p.Version))
+	if v := d.view.Load(); v != nil {
+		metrics.GetOrRegisterGauge("member.targets", d.metrics).Update(int64(v.targets))
+		metrics.GetOrRegisterGauge("plan.version", d.metrics).Update(int64(v.plan.Version))
 	}
 	w.Header().Set("Content-Type", "text/plain")
 	metrics.WriteOnce(d.metrics, w)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -132,7 +132,7 @@
 
 	announcing sync.Mutex
 	announced  announced
-	// ended holds the last sequence of starts that have said that they leave.
+	// ended holds the starts of targets that have said that they leave.
 	ended map[start]bool
 
 	// known holds control addresses by the daemon's name, also of daemons that
@@ -140,6 +140,8 @@
 	knownMu sync.Mutex
 	known   map[string]string
 
+	// memberNews is sent to when members change.
+	memberNews chan struct{}
 	// joined is set once the other daemons were looked up.
 	joined atomic.Bool
 	// heardNews is when a relay that reaches the store was heard of last, and
@@ -207,8 +209,10 @@
 		known:      map[string]string{},
 		probing:    make(chan struct{}, memberCalls),
 		changed:    make(chan struct{}, 1),
+		memberNews: make(chan struct{}, 1),
 		packed:     map[string]follower.Packed{},
 	}
+	d.members.Notify(d.memberNews)
 	d.budget = &dispatcher.Budget{
 		Daemons: func() int { return d.members.Counts().Live() },
 	}
@@ -338,7 +342,7 @@
 			}
 		})
 	}
-	for _, run := range []func(context.Context){d.operator.Run, d.outcomes.Run, d.relay, d.gossip, d.register, d.learnFromPeers, d.keepMoves, d.watchTarget} {
+	for _, run := range []func(context.Context){d.operator.Run, d.outcomes.Run, d.relay, d.gossip, d.keepView, d.register, d.learnFromPeers, d.keepMoves, d.watchTarget} {
 		running.Go(func() { run(stopped) })
 	}
 	d.log.Info("daemon started", "service", d.sidecar.Service, "traffic", d.settings.Listen.Traffic, "admit", d.settings.Listen.Admit)
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -1,7 +1,7 @@
 package sidecar
 
 import (
-	"slices"
+	"context"
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
@@ -18,6 +18,8 @@
 	plan     *matcher.Plan
 	out      map[string]bool
 	services map[string]*serviceView
+	// targets is the number of members whose targets take requests.
+	targets int
 }
 
 // serviceView is what requests of one service are handled by.
@@ -146,6 +148,35 @@
 	d.rebuild()
 }
 
+// Times of making the view anew.
+const (
+	// refreshPeriod is how often that happens without news: what the answers
+	// tell of a move's targets changes too.
+	refreshPeriod = time.Second
+	// minRefresh is the least time between two, and refreshRest what follows
+	// each, in times of what it took: the members' news take a twentieth of a
+	// core at most.
+	minRefresh  = 2 * time.Millisecond
+	refreshRest = 20
+)
+
+// keepView makes the view anew when members change.
+func (d *Daemon) keepView(ctx context.Context) {
+	ticker := time.NewTicker(refreshPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.memberNews:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		began := d.clock.Now()
+		d.refresh()
+		pause(ctx, max(minRefresh, refreshRest*d.clock.Now().Sub(began)))
+	}
+}
+
 // refresh makes the view anew from the members and the records in force.
 func (d *Daemon) refresh() {
 	d.building.Lock()
@@ -163,8 +194,15 @@
 		out:      d.declared.Out,
 		services: map[string]*serviceView{},
 	}
+	serving := map[string][]prober.Member{}
+	for _, m := range d.members.All() {
+		if m.Serves() {
+			serving[m.Target.Service] = append(serving[m.Target.Service], m)
+			v.targets++
+		}
+	}
 	for name := range v.plan.Services {
-		v.services[name] = d.serviceView(name, v)
+		v.services[name] = d.serviceView(name, v, serving[name])
 	}
 	old := d.view.Swap(v)
 	if old == nil || v.out[d.settings.DC] != old.out[d.settings.DC] || v.changed(old, d.sidecar.Service) {
@@ -182,10 +220,10 @@
 }
 
 // serviceView sorts a service's members into those that carry its requests and
-// those of the version that it is moved to.
-func (d *Daemon) serviceView(service string, v *view) *serviceView {
+// those of the version that it is moved to. Members in zones that seem to be out
+// of reach stay: the requests themselves show whether they are.
+func (d *Daemon) serviceView(service string, v *view, members []prober.Member) *serviceView {
 	s := &serviceView{}
-	members := d.serving(service)
 	if o, ok := d.declared.Orders[service]; ok {
 		s.order = &o
 		s.heard = d.heardOrder[o.Revision]
@@ -228,15 +266,6 @@
 	return s
 }
 
-// serving returns the members whose targets take requests of a service, also
-// those in zones that seem to be out of reach: the requests themselves show
-// whether they are.
-func (d *Daemon) serving(service string) []prober.Member {
-	return slices.DeleteFunc(d.members.All(), func(m prober.Member) bool {
-		return !m.Serves() || m.Target.Service != service
-	})
-}
-
 // baseOf returns the version that carries a service's requests. It stays until a
 // move is done or none of its targets is left.
 func (d *Daemon) baseOf(service string, s *serviceView, members []prober.Member) string {
