--- a/internal/prober/table_test.go
+++ b/internal/prober/table_test.go
@@ -207,7 +207,9 @@
 		{"new member", func() { table.Merge(b) }, true},
 		{"the same again", func() { table.Merge(b) }, false},
 		{"gone", func() { table.Merge(b.WithStatus(prober.Left)) }, true},
-		{"own change", func() { table.Update(func(m prober.Member) prober.Member { return m.WithTarget(&prober.Target{Service: "s", Version: "v"}) }) }, true},
+		{"own change", func() {
+			table.Update(func(m prober.Member) prober.Member { return m.WithTarget(&prober.Target{Service: "s", Version: "v"}) })
+		}, true},
 		{"data centre out of reach", func() { table.SetReachable("y", false) }, true},
 		{"data centre still out of reach", func() { table.SetReachable("y", false) }, false},
 		{"two without a reader", func() { table.SetReachable("y", true); table.SetReachable("y", false) }, true},
