Soak the daemons as processes, and find a shared failure

Cause: no test ran the real programs under faults from outside that overlap. Change: coltsfootsoak and internal/soaker: daemons as processes, a loopback proxy on each link (delay, reset, silence, one-way cuts), signals in series, a store and targets that misbehave, operators' changes; a ledger of what clients and targets see checks twice, not run, lost, late, mixed, unasked, slots, drain, cold, budget, evacuation, moves, exposure, recovery, keys, exits. Daemons may advertise other addresses than those they listen on.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -64,11 +64,12 @@
 // Unwrap returns the failure's verdict and cause.
 func (f *Failure) Unwrap() error { return f.Failure }
 
-// Fail returns err as a Failure.
+// Fail returns err as a Failure of its own, which the caller may change.
 func Fail(err error) *Failure {
 	var f *Failure
 	if errors.As(err, &f) {
-		return f
+		own := *f
+		return &own
 	}
 	var c *classifier.Failure
 	if errors.As(err, &c) {
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -275,3 +275,14 @@
 		t.Error("the delivery goes on")
 	}
 }
+
+// TestFailIsOwn changes one Failure of an error that many requests share.
+func TestFailIsOwn(t *testing.T) {
+	shared := &carrier.Failure{Failure: classifier.Fail(classifier.NotRun, "leaving", nil)}
+	own := carrier.Fail(shared)
+	own.Told = true
+	own.Pause = time.Second
+	if shared.Told || shared.Pause != 0 {
+		t.Errorf("the shared failure changed: %+v", shared)
+	}
+}
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -59,7 +59,7 @@
 	instance string
 	born     time.Time
 	sequence int
-	cold     time.Duration
+	warm     time.Time
 	leaving  bool
 	deadly   string
 	faults   BackendFaults
@@ -82,6 +82,8 @@
 	b.born = b.Clock.Now()
 	b.sequence = 0
 	b.leaving = false
+	b.warm = time.Time{}
+	b.running = 0
 	b.server = &http.Server{Handler: http.HandlerFunc(b.serve)}
 	server := b.server
 	go func() { _ = server.Serve(ln) }()
@@ -112,11 +114,18 @@
 	b.faults = f
 }
 
-// SetCold sets what the target reports of its warm-up.
+// SetCold makes the target report that it warms up for a time.
 func (b *Backend) SetCold(left time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cold = left
+	b.warm = b.Clock.Now().Add(left)
+}
+
+// Instance returns the name of the target's present start.
+func (b *Backend) Instance() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.instance
 }
 
 // SetLeaving makes the target report that it drains.
@@ -156,7 +165,7 @@
 		"version":        b.Version,
 		"slots":          b.Slots,
 		"state":          state,
-		"warmup_left_ms": b.cold.Milliseconds(),
+		"warmup_left_ms": max(0, b.warm.Sub(b.Clock.Now()).Milliseconds()),
 		"seq":            b.sequence,
 		"born":           b.born.UnixMilli(),
 	})
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -2,6 +2,7 @@
 package loader
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/netip"
@@ -28,6 +29,8 @@
 	DC string `json:"dc"`
 	// Listen holds the daemon's own addresses.
 	Listen Listen `json:"listen"`
+	// Advertise holds the addresses that other daemons call.
+	Advertise Advertise `json:"advertise,omitzero"`
 	// Platform is the base URL of the platform's key-value service.
 	Platform string `json:"platform"`
 	// Patience bounds one call to the platform.
@@ -100,6 +103,19 @@
 	Open bool `json:"open,omitempty"`
 }
 
+// Advertise holds addresses as IP:port; empty ones are those that the daemon
+// listens on.
+type Advertise struct {
+	Admit   string `json:"admit,omitempty"`
+	Control string `json:"control,omitempty"`
+}
+
+// AdmitAddress returns where other daemons send requests.
+func (s Settings) AdmitAddress() string { return cmp.Or(s.Advertise.Admit, s.Listen.Admit) }
+
+// ControlAddress returns where other daemons make control connections.
+func (s Settings) ControlAddress() string { return cmp.Or(s.Advertise.Control, s.Listen.Control) }
+
 // Log says what is logged, and how.
 type Log struct {
 	// Level is debug, info, warn or error; empty means info.
@@ -166,6 +182,10 @@
 		group.Add(fmt.Errorf("key: want at least %d bytes", minKeyBytes))
 	}
 	s.Listen.check(&group)
+	if s.Advertise != (Advertise{}) {
+		checkAddress("advertise.admit", s.AdmitAddress(), &group)
+		checkAddress("advertise.control", s.ControlAddress(), &group)
+	}
 	for _, seed := range s.Seeds {
 		checkAddress("seeds", seed, &group)
 	}
--- a/internal/server/join.go
+++ b/internal/server/join.go
@@ -75,7 +75,7 @@
 			d.log.Debug("no seeds from the platform", "err", err)
 			return addresses
 		}
-		if address := string(item.Value); item.Version > 0 && address != d.settings.Listen.Control {
+		if address := string(item.Value); item.Version > 0 && address != d.settings.ControlAddress() {
 			addresses = append(addresses, address)
 		}
 	}
--- a/internal/server/relay.go
+++ b/internal/server/relay.go
@@ -22,7 +22,7 @@
 		Duty:    distributor.NewDuty(d.clock, rand.Uint64()),
 		Log:     d.history,
 		DC:      d.settings.DC,
-		Control: d.settings.Listen.Control,
+		Control: d.settings.ControlAddress(),
 	}
 	stop := func() {}
 	for ctx.Err() == nil {
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -220,13 +220,13 @@
 	if err != nil {
 		return "", err
 	}
-	_, err = store.PutIf(ctx, key, []byte(d.settings.Listen.Control), 0, lease)
+	_, err = store.PutIf(ctx, key, []byte(d.settings.ControlAddress()), 0, lease)
 	if errors.Is(err, storer.ErrConflict) {
 		item, getErr := store.Get(ctx, key)
 		if getErr != nil {
 			return "", getErr
 		}
-		_, err = store.PutIf(ctx, key, []byte(d.settings.Listen.Control), item.Version, lease)
+		_, err = store.PutIf(ctx, key, []byte(d.settings.ControlAddress()), item.Version, lease)
 	}
 	if err != nil {
 		return "", err
--- a/internal/sidecar/relays.go
+++ b/internal/sidecar/relays.go
@@ -81,7 +81,7 @@
 func (d *Daemon) tellNews() {
 	n := news{
 		From:      d.settings.Name,
-		Control:   d.settings.Listen.Control,
+		Control:   d.settings.ControlAddress(),
 		Reached:   d.reachesStore(),
 		Revisions: map[string]uint64{},
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -195,8 +195,8 @@
 		members: prober.NewTable(prober.Member{
 			ID:          s.Name,
 			DC:          s.DC,
-			Admit:       s.Listen.Admit,
-			Control:     s.Listen.Control,
+			Admit:       s.AdmitAddress(),
+			Control:     s.ControlAddress(),
 			Incarnation: uint64(o.Clock.Now().UnixMilli()),
 		}),
 		client:     linker.NewClient(s.Key, controlTimeout),
--- /dev/null
+++ b/internal/soaker/script_test.go
@@ -0,0 +1,63 @@
+package soaker_test
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/soaker"
+)
+
+func TestScriptIsOfItsSeed(t *testing.T) {
+	a := soaker.Script(7, 6, 20*time.Second)
+	if !reflect.DeepEqual(a, soaker.Script(7, 6, 20*time.Second)) {
+		t.Error("the same seed gave other events")
+	}
+	if reflect.DeepEqual(a, soaker.Script(8, 6, 20*time.Second)) {
+		t.Error("another seed gave the same events")
+	}
+}
+
+// TestScriptKinds wants every kind of event from some seeds, in bounds, and
+// events that overlap on one daemon.
+func TestScriptKinds(t *testing.T) {
+	const nodes, length = 6, 20 * time.Second
+	seen := map[soaker.Kind]int{}
+	overlaps := 0
+	for seed := range uint64(60) {
+		var ends [nodes]time.Duration
+		last := time.Duration(0)
+		moves := 0
+		for _, e := range soaker.Script(seed, nodes, length) {
+			seen[e.Kind]++
+			if e.At < last || e.At >= length || e.Length <= 0 || e.Length > 5*time.Second || e.Node < 0 || e.Node >= nodes {
+				t.Fatalf("seed %d: event out of bounds: %+v", seed, e)
+			}
+			if e.At < ends[e.Node] {
+				overlaps++
+			}
+			if e.Kind == soaker.Move {
+				moves++
+			}
+			last = e.At
+			ends[e.Node] = max(ends[e.Node], e.At+e.Length)
+		}
+		if moves > 1 {
+			t.Errorf("seed %d: %d moves", seed, moves)
+		}
+	}
+	for _, k := range []soaker.Kind{
+		soaker.Kill, soaker.Pause, soaker.Stop, soaker.Reload,
+		soaker.Delay, soaker.Reset, soaker.Silence, soaker.CutForth, soaker.CutBack,
+		soaker.StoreSilent, soaker.StoreRefuse, soaker.StoreSlow, soaker.StoreLose, soaker.StoreLapse, soaker.StorePause, soaker.StoreForget,
+		soaker.Crash, soaker.Drain, soaker.Slow, soaker.Fail, soaker.Lose, soaker.Shed,
+		soaker.Declare, soaker.Evacuate, soaker.Move,
+	} {
+		if seen[k] == 0 {
+			t.Errorf("no event %q", k)
+		}
+	}
+	if overlaps == 0 {
+		t.Error("no events overlap")
+	}
+}
--- /dev/null
+++ b/internal/soaker/soaker_test.go
@@ -0,0 +1,105 @@
+package soaker_test
+
+import (
+	"bytes"
+	"embed"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/soaker"
+	"github.com/coltsfootlane/coltsfootlane/pkg/parser"
+)
+
+var full = flag.Bool("full", false, "run all regression seeds at their whole length")
+
+//go:embed testdata/regressions.jsonc
+var regressions embed.FS
+
+// regression is a seed that once broke a promise.
+type regression struct {
+	Seed  uint64 `json:"seed"`
+	Saw   string `json:"saw"`
+	Cause string `json:"cause"`
+}
+
+// Sizes of the runs in the tests.
+const (
+	testNodes  = 6
+	testLength = 20 * time.Second
+	// shortLength and shortSeeds are those without -full.
+	shortLength = 6 * time.Second
+	shortSeeds  = 2
+)
+
+// build builds the daemon with the race detector.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "coltsfootd")
+	out, err := exec.Command("go", "build", "-race", "-o", program, "github.com/coltsfootlane/coltsfootlane/cmd/coltsfootd").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, bytes.TrimSpace(out))
+	}
+	return program
+}
+
+// soak runs one seed. The logs of one that breaks a promise are kept.
+func soak(t *testing.T, program string, seed uint64, length time.Duration) {
+	dir, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := soaker.Run(t.Context(), soaker.Options{
+		Program: program,
+		Dir:     dir,
+		Seed:    seed,
+		Nodes:   testNodes,
+		Length:  length,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range r.Broken {
+		t.Error(b)
+	}
+	if r.Counts.Answered == 0 {
+		t.Error("no request was answered")
+	}
+	if t.Failed() {
+		t.Logf("settings and logs are in %s", dir)
+		return
+	}
+	if err := os.RemoveAll(dir); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestSoak runs some seeds, and with -full those that once broke a promise.
+func TestSoak(t *testing.T) {
+	program := build(t)
+	if !*full {
+		for seed := range uint64(shortSeeds) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				soak(t, program, seed, shortLength)
+			})
+		}
+		return
+	}
+	const name = "testdata/regressions.jsonc"
+	data, err := regressions.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []regression
+	if err := parser.Decode(name, data, len(data), &cases); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.Seed), func(t *testing.T) { soak(t, program, c.Seed, testLength) })
+	}
+}
