Count a response as due until it is written

The connection counted a response as no longer due before it wrote it; the shutdown, looking in between, saw nothing under way and closed the connection. Ruled out: a request cut off unread (the log has it answered 5 ms before the stop). Change: a response is due until its last byte is written. Before: TestStopWhileAnswering read part of 16 MB and saw no busy connection. After: it passes.

--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -300,11 +300,12 @@
 func (c *connection) write() {
 	for x := range c.queue {
 		resp := <-x.response
-		final := c.answered(x)
+		final := c.answering(x)
 		if resp.Break || c.ctx.Err() != nil || c.writeResponse(x, resp, final) != nil {
 			c.abort()
 			break
 		}
+		c.answered()
 		if final {
 			c.mu.Lock()
 			c.closing = true
@@ -327,21 +328,24 @@
 	_ = c.conn.Close()
 }
 
-// answered counts a response as written and reports whether it closes the
-// connection: nothing else may be due then.
-func (c *connection) answered(x *exchange) (final bool) {
+// answering reports whether a response closes the connection: nothing else may
+// be due then.
+func (c *connection) answering(x *exchange) (final bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.due--
-	final = x.last || (c.server.draining.Load() && c.due == 0 && c.waiting)
-	if final {
-		c.closing = true
-	} else {
-		c.setIdleDeadline()
-	}
+	final = x.last || (c.server.draining.Load() && c.due == 1 && c.waiting)
+	c.closing = c.closing || final
 	return final
 }
 
+// answered counts a response as written.
+func (c *connection) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.due--
+	c.setIdleDeadline()
+}
+
 func (c *connection) writeResponse(x *exchange, r *Response, final bool) error {
 	out := &http.Response{
 		StatusCode:    r.Status,
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -261,3 +261,29 @@
 		t.Errorf("read %q", b)
 	}
 }
+
+// TestStopWhileAnswering stops the server while a response is being written to a
+// client that reads it slowly.
+func TestStopWhileAnswering(t *testing.T) {
+	const size = 16 << 20
+	s, address := start(t, wide, func(context.Context, *receiver.Request) *receiver.Response {
+		return text(strings.Repeat("x", size))
+	})
+	conn, reader := dial(t, address)
+	send(t, conn, get("/"))
+	if _, err := reader.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	if busy := s.Busy(); busy != 1 {
+		t.Errorf("%d connections busy while a response is written, want 1", busy)
+	}
+	s.Stop()
+	if _, body := read(t, reader); len(body) != size {
+		t.Errorf("%d bytes of %d", len(body), size)
+	}
+	for end := time.Now().Add(patience); s.Busy() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("still busy after the response was read")
+		}
+	}
+}
