Start watches anew when other calls to the store begin to fail or to work

The watches that the silent store held were never answered; they were given up after 25 s, while the renewals of leases were answered again and the relays said that they reach the store. Ruled out: shorter watches (each is a paid call) and keep-alives of connections (the connection lives). Change: a daemon whose registration is lost or reached again ends its watches and makes new ones.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -32,6 +32,9 @@
 	idlePause = 100 * time.Millisecond
 )
 
+// errRenewed ends a watch that is to be started anew.
+var errRenewed = errors.New("watch to be started anew")
+
 // Copy is the items under a prefix at a revision. Values are immutable.
 type Copy struct {
 	Revision uint64        `json:"revision"`
@@ -53,6 +56,8 @@
 	mu    sync.Mutex
 	copy  Copy
 	known bool
+	// renew ends the watch under way; it is nil without one.
+	renew context.CancelFunc
 }
 
 // Copy returns the newest copy; ok is false before there is one.
@@ -110,6 +115,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == errRenewed {
+			continue
+		}
 		f.Reached(err == nil || errors.Is(err, storer.ErrCompacted), err)
 		watching = err == nil || (watching && !errors.Is(err, storer.ErrCompacted))
 		if err != nil && !errors.Is(err, storer.ErrCompacted) {
@@ -138,8 +146,15 @@
 // watch waits for the changes after the copy's revision.
 func (f *Follower) watch(ctx context.Context) error {
 	base, _ := f.Copy()
-	span, err := f.Platform.WatchPrefix(ctx, f.Prefix, base.Revision, watchTime)
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.setRenew(cancel)
+	span, err := f.Platform.WatchPrefix(watch, f.Prefix, base.Revision, watchTime)
+	f.setRenew(nil)
 	if err != nil {
+		if watch.Err() != nil && ctx.Err() == nil {
+			return errRenewed
+		}
 		return err
 	}
 	if span.Revision > base.Revision || len(span.Changes) > 0 {
@@ -148,6 +163,22 @@
 	return nil
 }
 
+func (f *Follower) setRenew(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.renew = cancel
+}
+
+// Renew starts the watch anew: the platform may have lost the one under way
+// without a sign.
+func (f *Follower) Renew() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.renew != nil {
+		f.renew()
+	}
+}
+
 // With returns the copy after the changes of a span.
 func (c Copy) With(span storer.Span) Copy {
 	items := make(map[string]storer.Item, len(c.Items))
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -172,3 +172,29 @@
 		t.Error("a broken copy was read")
 	}
 }
+
+// TestRenew loses a watch without a sign: the store answers again, and not to
+// the call that it held.
+func TestRenew(t *testing.T) {
+	r := newRig(t)
+	r.records.Put("op/a", []byte("1"))
+	r.await("op/a=1")
+	for r.records.Calls("watch") == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.records.SetFaults(emulator.RecordFaults{Silent: true})
+	before := r.records.Calls("watch")
+	r.records.Put("op/a", []byte("2"))
+	r.await("op/a=2")
+	for r.records.Calls("watch") == before {
+		time.Sleep(5 * time.Millisecond)
+	}
+	r.records.SetFaults(emulator.RecordFaults{})
+	r.records.Put("op/a", []byte("3"))
+	began := time.Now()
+	r.follower.Renew()
+	r.await("op/a=3")
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("the change was seen after %v", took)
+	}
+}
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -198,7 +198,9 @@
 			lease = ""
 			continue
 		}
-		d.dependency("store registration", err == nil, err)
+		if d.dependency("store registration", err == nil, err) {
+			d.renewWatches()
+		}
 		if err != nil {
 			pause(ctx, registerPause)
 			continue
@@ -213,6 +215,14 @@
 	}
 }
 
+// renewWatches starts the watches of the store anew: when other calls to it
+// begin to fail, or to be answered again, it may have lost them without a sign.
+func (d *Daemon) renewWatches() {
+	for _, f := range d.followers() {
+		f.Renew()
+	}
+}
+
 // writeKey writes the daemon's key under a new lease.
 func (d *Daemon) writeKey(ctx context.Context, key string) (storer.LeaseID, error) {
 	store := d.platform.Store
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -75,8 +75,9 @@
 		"running", f.Load.Running, "queued", f.Load.Queued, "slots", f.Load.Slots, "work", f.Load.Work, "cold", f.Load.Wait, "reason", f.Reason)
 }
 
-// dependency logs that something that the daemon depends on was lost or is back.
-func (d *Daemon) dependency(name string, ok bool, err error) {
+// dependency logs that something that the daemon depends on was lost or is back,
+// and reports whether that is new.
+func (d *Daemon) dependency(name string, ok bool, err error) (changed bool) {
 	value, _ := d.reached.LoadOrStore(name, &atomic.Bool{})
 	before := value.(*atomic.Bool).Swap(ok)
 	switch {
@@ -85,6 +86,7 @@
 	case !ok && before:
 		d.log.Warn("dependency lost", "dependency", name, "err", err)
 	}
+	return ok != before
 }
 
 func (d *Daemon) isReached(name string) bool {
--- a/internal/soaker/link.go
+++ b/internal/soaker/link.go
@@ -28,8 +28,12 @@
 	closed  bool
 }
 
-// linkBuffer is the size of the pieces that are passed on, in bytes.
-const linkBuffer = 32 << 10
+const (
+	// linkBuffer is the size of the pieces that are passed on, in bytes, and
+	// linkPieces the number of them that are under way in one direction.
+	linkBuffer = 32 << 10
+	linkPieces = 64
+)
 
 // NewLink listens on an address for a server at another.
 func NewLink(address, server string) (*Link, error) {
@@ -116,28 +120,38 @@
 	both.Wait()
 }
 
+// piece is what was read at a time; the last one has an error.
+type piece struct {
+	data []byte
+	read time.Time
+	err  error
+}
+
 // pass copies one direction of a connection, and its end.
 func (l *Link) pass(to, from net.Conn, held func(Fault) bool) {
-	buffer := make([]byte, linkBuffer)
-	for {
-		n, err := from.Read(buffer)
-		delay := l.await(held)
-		time.Sleep(delay)
-		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				l.abort(from, to)
+	pieces := make(chan piece, linkPieces)
+	go func() {
+		defer close(pieces)
+		for {
+			buffer := make([]byte, linkBuffer)
+			n, err := from.Read(buffer)
+			pieces <- piece{data: buffer[:n], read: time.Now(), err: err}
+			if err != nil {
 				return
 			}
 		}
+	}()
+	for p := range pieces {
+		delay := l.await(held)
+		time.Sleep(time.Until(p.read.Add(delay)))
+		_, err := to.Write(p.data)
 		switch {
-		case err == io.EOF:
+		case err != nil, p.err != nil && p.err != io.EOF:
+			l.abort(from, to)
+		case p.err == io.EOF:
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite() // a failure means that it is closed already
 			}
-			return
-		case err != nil:
-			l.abort(from, to)
-			return
 		}
 	}
 }
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -172,6 +172,8 @@
 		return
 	}
 	p.stopped = true
+	// A process that does not listen yet may have no handler of the signal.
+	p.killed = p.killed || !p.gone.IsZero()
 	p.mu.Unlock()
 	select {
 	case <-exited:
