Weigh the lag of targets; shut the gate while a target turns requests away

Ruled out: service times (p50 10 to 23 ms) and slots. Change: a daemon tells how long an order was with it; the rest is the target's lag and part of its cost. After four requests in a row that its target turned away a gate is shut for 50 to 400 ms, tells so, and lets one on trial. TestTurnedAwayTeachesNoServiceTime lets a second pass between its requests, since the gate is shut for less; what it asks of the load is the same.

--- a/cmd/coltsfootd/main.go
+++ b/cmd/coltsfootd/main.go
@@ -51,8 +51,7 @@
 }
 
 func run(path string, settings loader.Settings) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
+	ctx := untilTold()
 	if settings.Sidecar != nil {
 		return runSidecar(ctx, path, settings)
 	}
@@ -64,6 +63,19 @@
 	}).Run(ctx)
 }
 
+// untilTold returns a context that ends when the process is told to stop. Told
+// again, it goes on stopping.
+func untilTold() context.Context {
+	ctx, stop := context.WithCancel(context.Background())
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-told
+		stop()
+	}()
+	return ctx
+}
+
 // runSidecar serves on the users' platform.
 func runSidecar(ctx context.Context, path string, settings loader.Settings) error {
 	clock := timekeeper.System{}
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -22,6 +22,7 @@
 	ErrLeaving = classifier.Fail(classifier.NotRun, "target leaving", nil)
 	ErrClosed  = classifier.Fail(classifier.NotRun, "target closed to new requests", nil)
 	ErrBusy    = classifier.Fail(classifier.NotRun, "target busy", nil)
+	ErrShut    = classifier.Fail(classifier.NotRun, "target turns requests away", nil)
 	ErrCold    = classifier.Fail(classifier.NotRun, "target cold", nil)
 	ErrShort   = classifier.Fail(classifier.NotRun, "too little time left", nil)
 	ErrWaited  = classifier.Fail(classifier.NotRun, "waited too long for a slot", nil)
@@ -97,6 +98,8 @@
 	// failing is the share of requests that ended badly, and faulty that among
 	// those that the target has run.
 	failing, faulty float64
+	// breaker shuts the gate while the target turns requests away.
+	breaker breaker
 	// emptyAt is when the queue was last empty.
 	emptyAt time.Time
 	timer   *time.Timer
@@ -108,6 +111,7 @@
 	defer g.mu.Unlock()
 	if g.target == nil || g.target.Instance != t.Instance {
 		g.failing, g.faulty = 0, 0
+		g.breaker = breaker{}
 		g.sent = nil
 	}
 	g.target = &t
@@ -208,6 +212,8 @@
 		return ErrLeaving
 	case g.Closed(*g.target):
 		return ErrClosed
+	case g.breaker.shut(now):
+		return ErrShut
 	case now.Add(time.Duration(shortestRun * float64(g.expected(a.Rule)))).After(a.Deadline):
 		return ErrShort
 	}
@@ -244,6 +250,7 @@
 // target is warm: it may turn out to have been cold.
 func (g *Gate) grant(now time.Time) {
 	g.running++
+	g.breaker.pass()
 	g.sent = append(g.sent, now)
 	stale := 0
 	for stale < len(g.sent) && now.Sub(g.sent[stale]) > coldWindow {
@@ -257,6 +264,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.running--
+	g.breaker.learn(o, g.Clock.Now())
 	if !o.Cut || o.Duration > g.expected(rule) {
 		g.learn(rule, o)
 	}
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -344,6 +344,7 @@
 	}
 	r.Leave("status", admitter.Outcome{Duration: 100 * time.Millisecond})
 	for range 20 {
+		r.clock.Advance(time.Second) // the gate is shut for less in between
 		if err := r.enter(r.ask()); err != nil {
 			t.Fatal(err)
 		}
@@ -354,3 +355,69 @@
 		t.Errorf("%+v", l)
 	}
 }
+
+// TestShutWhileTurningAway lets a target turn requests away and take them again.
+func TestShutWhileTurningAway(t *testing.T) {
+	away := admitter.Outcome{TurnedAway: true}
+	well := admitter.Outcome{Duration: 20 * time.Millisecond}
+	r := newRig(target())
+	run := func(o admitter.Outcome) error {
+		if err := r.enter(r.ask()); err != nil {
+			return err
+		}
+		r.Leave("status", o)
+		return nil
+	}
+	for i, step := range []struct {
+		after   time.Duration
+		outcome admitter.Outcome
+		want    error
+	}{
+		{outcome: away},
+		{outcome: away},
+		{outcome: away},
+		{outcome: well},
+		{outcome: away},
+		{outcome: away},
+		{outcome: away},
+		{outcome: away},
+		{want: admitter.ErrShut},
+		{after: 49 * time.Millisecond, want: admitter.ErrShut},
+		// On trial, and turned away again: shut for twice as long.
+		{after: time.Millisecond, outcome: away},
+		{after: 99 * time.Millisecond, want: admitter.ErrShut},
+		{after: time.Millisecond, outcome: well},
+		{outcome: well},
+	} {
+		r.clock.Advance(step.after)
+		if err := run(step.outcome); !errors.Is(err, step.want) || (err == nil) != (step.want == nil) {
+			t.Fatalf("step %d: %v, want %v", i, err, step.want)
+		}
+	}
+}
+
+// TestOneRequestOnTrial holds the others back while one is on trial, and tells
+// how long to wait.
+func TestOneRequestOnTrial(t *testing.T) {
+	r := newRig(target())
+	for range 4 {
+		if err := r.enter(r.ask()); err != nil {
+			t.Fatal(err)
+		}
+		r.Leave("status", admitter.Outcome{TurnedAway: true})
+	}
+	if wait := r.Load("status").Wait; wait != 50*time.Millisecond {
+		t.Errorf("wait %v", wait)
+	}
+	r.clock.Advance(50 * time.Millisecond)
+	if err := r.enter(r.ask()); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.enter(r.ask()); !errors.Is(err, admitter.ErrShut) {
+		t.Errorf("second request while one is on trial: %v", err)
+	}
+	r.Leave("status", admitter.Outcome{Duration: 20 * time.Millisecond})
+	if err := r.enter(r.ask()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/admitter/load.go
+++ b/internal/admitter/load.go
@@ -23,6 +23,7 @@
 	if wait := g.coldWait(g.Clock.Now()); wait > 0 {
 		l.Wait = wait + time.Duration(float64(len(g.queue))*float64(time.Second)/g.coldRate())
 	}
+	l.Wait = max(l.Wait, g.breaker.wait(g.Clock.Now()))
 	return l
 }
 
@@ -82,5 +83,6 @@
 		slots = max(1, g.target.Slots)
 	}
 	wait := g.expected(rule) * time.Duration(1+len(g.queue)) / time.Duration(slots)
-	return max(minWait, wait, g.coldWait(g.Clock.Now()))
+	now := g.Clock.Now()
+	return max(minWait, wait, g.coldWait(now), g.breaker.wait(now))
 }
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -85,6 +85,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		a.Load.Lag = 0 // TestLag is about it
 		if a.Status != 418 || string(a.Body) != "answer" || a.Header.Get("X-Server") != "2" ||
 			a.Load != (chooser.Load{Running: 1, Queued: 2, Slots: 3, Work: 4 * time.Millisecond, Failing: 0.5, Faulty: 0.25, Wait: time.Second}) {
 			t.Errorf("%+v", a)
@@ -102,6 +103,30 @@
 	}
 }
 
+// TestLag measures what an answer and a failure took beyond their time at the
+// other daemon.
+func TestLag(t *testing.T) {
+	const spent = 50 * time.Millisecond
+	for name, failure := range map[string]error{"answer": nil, "failure": &carrier.Failure{Failure: classifier.Fail(classifier.NotRun, "busy", nil), Told: true}} {
+		address := serve(t, func(context.Context, *carrier.Order) (*carrier.Answer, error) {
+			time.Sleep(spent)
+			return &carrier.Answer{Status: 200}, failure
+		})
+		began := time.Now()
+		a, err := newClient().Send(t.Context(), address, order(matcher.Idempotent, ""))
+		took := time.Since(began)
+		var lag time.Duration
+		if failure == nil {
+			lag = a.Load.Lag
+		} else {
+			lag = carrier.Fail(err).Load.Lag
+		}
+		if lag <= 0 || lag > took-spent {
+			t.Errorf("%s: lag %v of %v, %v of them at the other daemon", name, lag, took, spent)
+		}
+	}
+}
+
 func TestFailureIsCarried(t *testing.T) {
 	for _, verdict := range []classifier.Verdict{classifier.NotRun, classifier.Ran, classifier.MayHaveRun} {
 		address := serve(t, func(context.Context, *carrier.Order) (*carrier.Answer, error) {
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -50,6 +50,7 @@
 
 // Send sends an order to the daemon at an address. Its error is a *Failure.
 func (c *Client) Send(ctx context.Context, address string, o *Order) (*Answer, error) {
+	began := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, o.Deadline)
 	defer cancel()
 	ctx, giveUp := context.WithCancelCause(ctx)
@@ -86,7 +87,7 @@
 	if err != nil {
 		return nil, c.failed(ctx, classifier.Fail(classifier.MayHaveRun, "answer broke off between daemons", err), false)
 	}
-	return readAnswer(resp, data)
+	return readAnswer(resp, data, time.Since(began))
 }
 
 // held reports whether an order's body is sent only once it is asked for: a
@@ -143,15 +144,21 @@
 }
 
 // readAnswer tells a target's answer from a failure that its daemon reports.
-func readAnswer(resp *http.Response, body []byte) (*Answer, error) {
+// Either came after a time.
+func readAnswer(resp *http.Response, body []byte, took time.Duration) (*Answer, error) {
+	lag := max(0, took-duration(resp.Header, spentHeader))
 	status, err := strconv.Atoi(resp.Header.Get(statusHeader))
 	if err != nil {
-		return nil, readFailure(resp.Header)
+		f := readFailure(resp.Header)
+		f.Load.Lag = lag
+		return nil, f
 	}
-	return &Answer{
+	answer := &Answer{
 		Status: status,
 		Header: forwarder.Carried(resp.Header),
 		Body:   body,
 		Load:   readLoad(resp.Header),
-	}, nil
+	}
+	answer.Load.Lag = lag
+	return answer, nil
 }
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -29,6 +29,7 @@
 	failingHeader  = "Coltsfoot-Failing"
 	faultyHeader   = "Coltsfoot-Faulty"
 	reopenHeader   = "Coltsfoot-Reopen"
+	spentHeader    = "Coltsfoot-Spent"
 	reasonHeader   = "Coltsfoot-Reason"
 	arrivedHeader  = "Coltsfoot-Arrived"
 	pauseHeader    = "Coltsfoot-Pause"
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
@@ -36,6 +37,7 @@
 		fail(w, &Failure{Failure: classifier.Fail(classifier.NotRun, "wrong key", nil)})
 		return
 	}
+	began := time.Now()
 	o := readOrder(r)
 	started := false
 	read := func() error {
@@ -57,11 +59,12 @@
 		read = nil
 	}
 	answer, err := s.Deliver(context.WithValue(ctx, bodyKey{}, read), o)
+	h := w.Header()
+	setDuration(h, spentHeader, time.Since(began))
 	if err != nil {
 		fail(w, Fail(err))
 		return
 	}
-	h := w.Header()
 	for name, values := range answer.Header {
 		h[name] = values
 	}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -78,6 +78,9 @@
 	Faulty float64
 	// Wait is how long the target takes nothing more, or 0.
 	Wait time.Duration
+	// Lag is what the request took beyond its time at the target's daemon: on
+	// links that are full, and at daemons short of processor time.
+	Lag time.Duration
 }
 
 // state is what is known of one target.
@@ -88,7 +91,9 @@
 	underWay     int
 	underWayThen int
 	work         map[string]time.Duration
-	avoidUntil   time.Time
+	// lag is the mean lag of the latest requests.
+	lag        time.Duration
+	avoidUntil time.Time
 	// suspectUntil and strikes say for how long the target is avoided after
 	// failures to reach it in a row.
 	suspectUntil time.Time
@@ -172,7 +177,8 @@
 	work += time.Duration(stale * float64(c.expected(w.Rule)-work))
 	slots := max(1, t.Slots)
 	load := max(s.underWay, s.load.Running+s.load.Queued+s.underWay-s.underWayThen)
-	cost := work + time.Duration(float64(work)*loadSlowdown*min(1, float64(load)/float64(slots)))
+	cost := work + time.Duration((1-stale)*float64(s.lag))
+	cost += time.Duration(float64(work) * loadSlowdown * min(1, float64(load)/float64(slots)))
 	if over := load + 1 - slots; over > 0 {
 		cost += work * time.Duration(over) / time.Duration(slots)
 	}
@@ -242,8 +248,12 @@
 	s.underWayThen = min(s.underWayThen, s.underWay+s.load.Running)
 }
 
-// meanShare is the weight of a new value in a running mean over all targets.
-const meanShare = 0.05
+const (
+	// meanShare is the weight of a new value in a running mean over all targets.
+	meanShare = 0.05
+	// lagShare is the weight of the latest lag in a target's mean.
+	lagShare = 0.2
+)
 
 // Heard takes in what an answer, or a refusal, told of a target.
 func (c *Chooser) Heard(instance, rule string, l Load) {
@@ -257,6 +267,7 @@
 	s.strikes = 0
 	s.suspectUntil = time.Time{}
 	s.avoidUntil = now.Add(l.Wait)
+	s.lag += time.Duration(lagShare * float64(l.Lag-s.lag))
 	if l.Work <= 0 {
 		return
 	}
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -80,6 +80,17 @@
 			targets: []chooser.Target{near("a"), far("b")},
 			want:    "b",
 		},
+		"not behind a full link": {
+			wanted: wanted,
+			prepare: func(c *chooser.Chooser) {
+				for range 10 {
+					c.Heard("a", "status", chooser.Load{Slots: 4, Work: 60 * time.Millisecond, Lag: 80 * time.Millisecond})
+				}
+				c.Heard("b", "status", load(0, 60*time.Millisecond))
+			},
+			targets: []chooser.Target{near("a"), far("b")},
+			want:    "b",
+		},
 		"not cold": {
 			wanted: wanted,
 			prepare: func(c *chooser.Chooser) {
