Look whether the sender has hung up before an order is passed on

A daemon that had not run for a second found five orders together with the closes of their connections; it passed them to its target, and came to the closes a moment later (26.393 s the client leaves, 27.208 s the request reaches the server, its run is cut at once). Ruled out: orders that queued (their contexts end with the connection). Change: the connection is looked at, without reading, right before an order is passed on. TestSenderHungUp and TestHungUp failed before (the request reached the target).

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -137,6 +137,9 @@
 	if err := carrier.ReadBody(ctx); err != nil {
 		return nil, Ending{Err: classifier.Fail(classifier.NotRun, "body broke off", err), Cut: true}
 	}
+	if forwarder.HungUp(ctx) {
+		return nil, Ending{Err: admitter.ErrGone, Cut: true}
+	}
 	done, err := d.Screen(o)
 	if err != nil {
 		return nil, Ending{Err: err, Cut: true}
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -84,7 +84,11 @@
 }
 
 func (r *rig) deliver(id string) (*carrier.Answer, error) {
-	return r.Deliver(context.Background(), &carrier.Order{
+	return r.deliverFor(context.Background(), id)
+}
+
+func (r *rig) deliverFor(ctx context.Context, id string) (*carrier.Answer, error) {
+	return r.Deliver(ctx, &carrier.Order{
 		ID:        id,
 		Instance:  "i-1",
 		Rule:      "pay",
@@ -250,6 +254,43 @@
 	}
 }
 
+// TestSenderHungUp delivers an order whose sender has closed its connection,
+// which no reader has noticed yet.
+func TestSenderHungUp(t *testing.T) {
+	r := newRig(t, func(conn net.Conn, request *http.Request, _ int32) bool {
+		_, _ = io.WriteString(conn, head(request, "200 OK", "Content-Length: 4\r\n")+"good")
+		return true
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	sender, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	ctx := forwarder.WithConn(context.Background(), conn)
+	if _, err := r.deliverFor(ctx, "id-1"); err != nil {
+		t.Fatal(err)
+	}
+	_ = sender.Close()
+	for !forwarder.HungUp(ctx) {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := r.deliverFor(ctx, "id-2"); classifier.Of(err) != classifier.NotRun {
+		t.Errorf("%v, want a failure that has not run", err)
+	}
+	if n := r.requests.Load(); n != 1 {
+		t.Errorf("%d requests reached the target, want 1", n)
+	}
+}
+
 // TestConnectionsAreKept sends requests one after the other.
 func TestConnectionsAreKept(t *testing.T) {
 	r := newRig(t, func(conn net.Conn, request *http.Request, _ int32) bool {
--- /dev/null
+++ b/internal/forwarder/hangup_test.go
@@ -0,0 +1,71 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
+)
+
+// TestHungUp looks at a connection whose reader has not come to its end.
+func TestHungUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		do   func(client *net.TCPConn)
+		want bool
+	}{
+		"open":       {do: func(*net.TCPConn) {}},
+		"more comes": {do: func(c *net.TCPConn) { _, _ = io.WriteString(c, "next") }},
+		"closed":     {do: func(c *net.TCPConn) { _ = c.Close() }, want: true},
+		"reset": {do: func(c *net.TCPConn) {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		}, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = ln.Close() }()
+			client, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = client.Close() }()
+			server, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Close() }()
+			ctx := forwarder.WithConn(context.Background(), server)
+			if forwarder.HungUp(ctx) {
+				t.Error("gone before it did anything")
+			}
+			test.do(client.(*net.TCPConn))
+			got := false
+			for range 200 { // the close takes a moment to arrive
+				if got = forwarder.HungUp(ctx); got {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			if got != test.want {
+				t.Errorf("gone %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestHungUpContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	if forwarder.HungUp(ctx) {
+		t.Error("gone without a connection")
+	}
+	cancel()
+	if !forwarder.HungUp(ctx) {
+		t.Error("there although its context has ended")
+	}
+}
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
 // Sizes and times of a connection.
@@ -60,7 +62,7 @@
 
 func newConnection(s *Server, conn net.Conn) *connection {
 	limit := &limitedReader{Reader: conn}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(forwarder.WithConn(context.Background(), conn))
 	return &connection{
 		server: s,
 		conn:   conn,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -363,6 +363,7 @@
 			Handler:           h,
 			ReadHeaderTimeout: 5 * time.Second,
 			IdleTimeout:       time.Minute,
+			ConnContext:       forwarder.WithConn,
 		}
 		context.AfterFunc(ctx, func() { _ = srv.Close() })
 		if err := srv.Serve(ln); err != http.ErrServerClosed {
