Renew leases seldom, and at once when the store is back

Ruled out: a longer period alone, which finds a lapsed key late. Change: relays renew every 1.9 s, the others every 6 s; a relay that finds the store back tells so with its news, and the others renew within a second. The lease lasts 20 s, so a key can't lapse in an outage that no relay notices. TestStoreAway has more daemons in a zone than relays now, with the same bound.

--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -28,11 +28,14 @@
 
 // Times of finding and keeping up with other daemons.
 const (
-	// leaseTime is the life of the daemon's key in the store, and renewPeriod
-	// how often the lease is renewed: it shows within that time that the key was
-	// lost.
+	// leaseTime is the life of the daemon's key in the store. A relay renews its
+	// lease every renewPeriod, so that it notices within that time when the
+	// store is away; the others do so every restPeriod, and within renewSpread of
+	// the news that the store is back: each key is there again within two seconds.
 	leaseTime   = 20 * time.Second
 	renewPeriod = 1900 * time.Millisecond
+	restPeriod  = 6 * time.Second
+	renewSpread = time.Second
 	// registerPause is the pause after a call to the store that failed.
 	registerPause = 500 * time.Millisecond
 	// relookPeriod is how often daemons are looked up again, should groups
@@ -211,7 +214,31 @@
 				relook = d.clock.Now().Add(firstRelook)
 			}
 		}
-		pause(ctx, renewPeriod)
+		d.awaitRenewal(ctx)
+	}
+}
+
+// awaitRenewal waits until the lease is to be renewed.
+func (d *Daemon) awaitRenewal(ctx context.Context) {
+	period := restPeriod
+	if d.isRelay() {
+		period = renewPeriod
+	}
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.returned:
+		pause(ctx, time.Duration(rand.Int64N(int64(renewSpread))))
+	case <-ctx.Done():
+	}
+}
+
+// noteReturn notes that the store is back: keys may have lapsed meanwhile.
+func (d *Daemon) noteReturn() {
+	select {
+	case d.returned <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -78,11 +78,16 @@
 // dependency logs that something that the daemon depends on was lost or is back,
 // and reports whether that is new.
 func (d *Daemon) dependency(name string, ok bool, err error) (changed bool) {
-	value, _ := d.reached.LoadOrStore(name, &atomic.Bool{})
+	value, known := d.reached.LoadOrStore(name, &atomic.Bool{})
 	before := value.(*atomic.Bool).Swap(ok)
 	switch {
 	case ok && !before:
 		d.log.Info("dependency reached", "dependency", name)
+		if known {
+			d.returns.Add(1)
+			d.noteReturn()
+			d.notify()
+		}
 	case !ok && before:
 		d.log.Warn("dependency lost", "dependency", name, "err", err)
 	}
--- a/internal/sidecar/relays.go
+++ b/internal/sidecar/relays.go
@@ -27,6 +27,8 @@
 	Control string `json:"control"`
 	// Reached means that the relay reaches the store.
 	Reached bool `json:"reached"`
+	// Returns is how often the relay has found the store back.
+	Returns uint64 `json:"returns"`
 	// Revisions are those of its copies, by prefix.
 	Revisions map[string]uint64 `json:"revisions"`
 }
@@ -83,6 +85,7 @@
 		From:      d.settings.Name,
 		Control:   d.settings.ControlAddress(),
 		Reached:   d.reachesStore(),
+		Returns:   d.returns.Load(),
 		Revisions: map[string]uint64{},
 	}
 	for _, f := range d.followers() {
@@ -115,6 +118,9 @@
 	if n.Reached {
 		now := d.clock.Now()
 		d.heardNews.Store(&now)
+		if known, ok := d.heardReturns.Swap(n.From, n.Returns); ok && known != n.Returns {
+			d.noteReturn()
+		}
 	}
 	for _, f := range d.followers() {
 		known, _ := f.Copy()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -148,7 +148,13 @@
 	// changed is sent to when there is news to tell.
 	heardNews atomic.Pointer[time.Time]
 	changed   chan struct{}
-	fetching  sync.Map
+	// returns counts how often the daemon has found the store back, and
+	// heardReturns holds what relays tell of theirs. Returned is sent to when the
+	// store is back.
+	returns      atomic.Uint64
+	heardReturns sync.Map
+	returned     chan struct{}
+	fetching     sync.Map
 	// packed holds the copies that were last packed, by prefix.
 	packing sync.Mutex
 	packed  map[string]follower.Packed
@@ -209,6 +215,7 @@
 		known:      map[string]string{},
 		probing:    make(chan struct{}, memberCalls),
 		changed:    make(chan struct{}, 1),
+		returned:   make(chan struct{}, 1),
 		memberNews: make(chan struct{}, 1),
 		packed:     map[string]follower.Packed{},
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -28,7 +27,7 @@
 )
 
 // base is the path that the platform uses.
-const base = "/coltsfootlane/"
+const base = emulator.Base
 
 // patience bounds what is waited for on a busy machine.
 const patience = 60 * time.Second
@@ -211,42 +210,14 @@
 }
 
 // rule is one rule of a plan that a test writes.
-type rule struct {
-	prefix, kind string
-	service      string
-	timeout      int
-}
+type rule = emulator.Route
 
 // plan writes a configuration.
 func (m *mesh) plan(version int, rules ...rule) {
 	m.t.Helper()
-	services := map[string]bool{}
-	var list []map[string]any
-	for i, r := range rules {
-		services[r.service] = true
-		if r.timeout == 0 {
-			r.timeout = 2000
-		}
-		list = append(list, map[string]any{
-			"name": fmt.Sprintf("r%d", i), "kind": r.kind, "target_latency_ms": 300, "priority": 1,
-			"match":  map[string]any{"prefix": r.prefix},
-			"action": map[string]any{"service": r.service, "timeout_ms": r.timeout, "attempts": 2},
-		})
-	}
-	var clusters []map[string]any
-	for s := range services {
-		clusters = append(clusters, map[string]any{"name": s, "max_conns": 100, "warmup_s": 1, "warmup_per_s": 10})
-	}
-	data, err := json.Marshal(map[string]any{
-		"version":   fmt.Sprintf("r%d", version),
-		"limits":    map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"listeners": []any{map[string]any{"host": "a.example", "rules": list}},
-		"clusters":  clusters,
-	})
-	if err != nil {
+	if _, err := m.records.Declare(version, rules...); err != nil {
 		m.t.Fatal(err)
 	}
-	m.records.Put("op/config", data)
 }
 
 // answer is what a client got.
@@ -347,13 +318,13 @@
 	return true
 }
 
-var safe = rule{prefix: "/s/", kind: "safe", service: "renewal"}
+var safe = rule{Prefix: "/s/", Kind: "safe", Service: "renewal"}
 
 func TestCallsAreServedFromAnyDaemon(t *testing.T) {
 	m := newMesh(t)
 	a := m.add("zilina", "renewal", "v1")
 	b := m.add("martin", "documents", "v1")
-	m.plan(1, safe, rule{prefix: "/d/", kind: "upload", service: "documents"})
+	m.plan(1, safe, rule{Prefix: "/d/", Kind: "upload", Service: "documents"})
 	for _, n := range m.nodes {
 		m.await("both services", func() bool {
 			return n.call("GET", "/s/x?q=%2f", "id-1", "").status == 200 && n.call("POST", "/d/x", "id-2", "photo").status == 200
@@ -417,7 +388,7 @@
 	m.add("martin", "documents", "v1")
 	m.plan(1, safe)
 	m.await("the first plan", func() bool { return a.call("GET", "/s/", "id", "").status == 200 })
-	m.plan(3, rule{prefix: "/s/", kind: "safe", service: "documents"}, rule{prefix: "/new/", kind: "safe", service: "documents"})
+	m.plan(3, rule{Prefix: "/s/", Kind: "safe", Service: "documents"}, rule{Prefix: "/new/", Kind: "safe", Service: "documents"})
 	m.await("the second plan", func() bool { return a.call("GET", "/new/", "id", "").status == 200 })
 	m.records.Put("op/config", []byte(`{"version":"r4","listeners":[{"host":`))
 	m.plan(2, safe)
@@ -434,7 +405,7 @@
 	m.plan(1, safe)
 	m.awaitMembers()
 	m.await("own targets", func() bool { return a.serves("/s/", "i-zilina-1") && b.serves("/s/", "i-martin-2") })
-	m.records.Put("op/evacuate/martin", []byte("{}"))
+	m.records.Evacuate("martin", true)
 	m.await("martin empty", func() bool { return b.serves("/s/", "i-zilina-1") })
 	before := len(b.backend.Arrivals())
 	for i := range 40 {
@@ -443,32 +414,24 @@
 	if after := len(b.backend.Arrivals()); after != before {
 		t.Errorf("%d requests reached the zone that is out", after-before)
 	}
-	m.records.Delete("op/evacuate/martin")
+	m.records.Evacuate("martin", false)
 	m.await("martin back", func() bool { return strings.HasPrefix(b.call("GET", "/s/", "id", "").body, "i-martin-2") })
 }
 
 // order asks for a move.
 func (m *mesh) order(service, version string, period int) {
-	data, err := json.Marshal(map[string]any{"service": service, "target_version": version, "period_s": period})
-	if err != nil {
+	if err := m.records.Order(service, version, period); err != nil {
 		m.t.Fatal(err)
 	}
-	m.records.Put("op/rollout/"+service, data)
 }
 
 // state returns what was written of a service's move.
 func (m *mesh) state(service string) string {
-	value, ok := m.records.Value("status/rollout/" + service)
-	if !ok {
-		return ""
-	}
-	var s struct {
-		State string `json:"state"`
-	}
-	if err := json.Unmarshal(value, &s); err != nil {
+	state, err := m.records.Outcome(service)
+	if err != nil {
 		m.t.Error(err)
 	}
-	return s.State
+	return state
 }
 
 // load sends calls until it is stopped and returns how many were answered.
@@ -526,13 +489,20 @@
 	m := newMesh(t)
 	m.add("zilina", "renewal", "v1")
 	b := m.add("martin", "renewal", "v1")
+	for range 3 {
+		m.add("zilina", "renewal", "v1") // more than there are relays in a zone
+	}
 	m.plan(1, safe)
 	m.awaitMembers()
-	m.await("keys", func() bool {
-		_, one := m.records.Value("coltsfootlane/daemons/zilina-1")
-		_, two := m.records.Value("coltsfootlane/daemons/martin-2")
-		return one && two
-	})
+	keys := func() bool {
+		for _, n := range m.nodes {
+			if !m.records.Registered(n.settings.Name) {
+				return false
+			}
+		}
+		return true
+	}
+	m.await("keys", keys)
 	m.records.SetFaults(emulator.RecordFaults{Refuse: 503})
 	m.records.Revoke()
 	b.stop()
@@ -543,11 +513,7 @@
 	})
 	m.records.SetFaults(emulator.RecordFaults{})
 	back := time.Now()
-	m.await("keys again", func() bool {
-		_, one := m.records.Value("coltsfootlane/daemons/zilina-1")
-		_, two := m.records.Value("coltsfootlane/daemons/martin-2")
-		return one && two
-	})
+	m.await("keys again", keys)
 	if took := time.Since(back); took > 4*time.Second {
 		t.Errorf("keys came back after %v, want about 2 s", took)
 	}
@@ -593,7 +559,7 @@
 	m := newMesh(t)
 	a := m.add("zilina", "renewal", "v1")
 	b := m.add("martin", "renewal", "v1")
-	m.plan(1, safe, rule{prefix: "/u/", kind: "unsafe", service: "renewal"})
+	m.plan(1, safe, rule{Prefix: "/u/", Kind: "unsafe", Service: "renewal"})
 	m.awaitMembers()
 	m.await("own targets", func() bool { return a.serves("/s/", "i-zilina-1") && b.serves("/s/", "i-martin-2") })
 	for _, f := range []emulator.BackendFaults{{LoseAnswer: true}, {Spoil: true}, {FailShare: 1}, {Shed: true}} {
@@ -635,7 +601,7 @@
 	for range 4 {
 		m.add("zilina", "renewal", "v1")
 	}
-	m.plan(1, rule{prefix: "/u/", kind: "unsafe", service: "renewal"})
+	m.plan(1, rule{Prefix: "/u/", Kind: "unsafe", Service: "renewal"})
 	m.awaitMembers()
 	for _, n := range m.nodes {
 		m.await("own target", func() bool { return n.call("POST", "/u/", "w", "well").status == 200 })
