Drop fields that nothing reads

chooser.Target.Zone, matcher.Service.Connections and WarmUp were filled in and not read: how long a target is cold comes from its own reports, and only the daemon beside it makes connections to it, fewer than any operator allows.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -57,7 +57,6 @@
 	// Instance identifies one start of the target.
 	Instance string
 	Version  string
-	Zone     string
 	// Near means that it stands in the chooser's own zone.
 	Near bool
 	// Doubtful means that its zone seems to be out of reach.
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -51,10 +51,6 @@
 // Service is what operators say of a service's targets.
 type Service struct {
 	Name string
-	// Connections bounds the connections that one target accepts.
-	Connections int
-	// WarmUp is how long a target is cold after its start.
-	WarmUp time.Duration
 	// ColdRate is the number of requests a second that a cold target bears.
 	ColdRate float64
 }
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -301,7 +301,6 @@
 		Address:  m.Admit,
 		Instance: m.Target.Instance,
 		Version:  m.Target.Version,
-		Zone:     m.DC,
 		Near:     m.DC == d.settings.DC,
 		Doubtful: m.DC != d.settings.DC && !d.members.Reachable(m.DC),
 		Slots:    m.Target.Slots,
