Forget the address of a daemon that another has taken over

Change: an address through which the daemon it belonged to does not come back is forgotten, and the log says whose it was. Before: TestAddressIsUsedAgain saw 'daemon is back' without end. After: once a daemon at most.

--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -370,13 +370,26 @@
 	}
 	d.remember(live)
 	for name, address := range d.goneAddresses(live) {
-		if err := d.joinThrough(ctx, address); err == nil {
+		if err := d.joinThrough(ctx, address); err != nil {
+			return
+		}
+		if m, ok := d.members.Get(name); ok && m.Status <= prober.Suspect {
 			d.log.Info("daemon is back", "peer", name)
+			return
 		}
+		d.log.Info("address of a daemon that is gone is another's by now", "peer", name, "address", address)
+		d.forget(name)
 		return
 	}
 }
 
+// forget drops the control address of a daemon.
+func (d *Daemon) forget(name string) {
+	d.knownMu.Lock()
+	defer d.knownMu.Unlock()
+	delete(d.known, name)
+}
+
 // goneAddresses returns the addresses of known daemons that are not live.
 func (d *Daemon) goneAddresses(live map[string]string) map[string]string {
 	d.knownMu.Lock()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -35,6 +35,9 @@
 // heartbeat is how often targets report.
 const heartbeat = 200 * time.Millisecond
 
+// recallTime covers two tries to find daemons that are gone.
+const recallTime = 5 * time.Second
+
 // mesh is a store with daemons and their targets, on the loopback.
 type mesh struct {
 	t       *testing.T
@@ -519,6 +522,30 @@
 	}
 }
 
+// TestAddressIsUsedAgain puts another daemon at the addresses of one that is gone.
+func TestAddressIsUsedAgain(t *testing.T) {
+	m := newMesh(t)
+	m.add("zilina", "renewal", "v1")
+	b := m.add("martin", "renewal", "v1")
+	m.plan(1, safe)
+	m.awaitMembers()
+	time.Sleep(recallTime) // until its address is known
+	b.stop()
+	<-b.ended
+	b.settings.Name = "martin-9"
+	b.start()
+	m.awaitMembers()
+	const told = "is another's by now"
+	m.await("the address is forgotten", func() bool { return strings.Contains(m.logs.String(), told) })
+	time.Sleep(2 * recallTime)
+	if n := strings.Count(m.logs.String(), told); n > len(m.nodes) {
+		t.Errorf("%d daemons joined through the address %d times", len(m.nodes), n)
+	}
+	if strings.Contains(m.logs.String(), "daemon is back") {
+		t.Error("a daemon that is gone is said to be back")
+	}
+}
+
 // TestPlannedStop sends calls through a daemon while it stops: none is cut.
 func TestPlannedStop(t *testing.T) {
 	m := newMesh(t)
