Remember a leave of a target that has not announced itself

Its daemon had been restarted 0.7 s before and had heard no announcement yet, so it dropped the leave; a report that the target had sent earlier came 2.3 s later and was taken for news. Change: the leave is remembered by the instance's name; reports of a start that was born before it are ignored. Before: TestLeaveBeforeAnyAnnouncement: requests reach the target. After: none, and a new start under the same name gets some.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -189,6 +189,23 @@
 	return nil
 }
 
+// Leave tells the daemon at an address that the target leaves.
+func (b *Backend) Leave(ctx context.Context, daemon, base string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, fmt.Sprintf("http://%s%sinstances/%s", daemon, base, b.Instance()), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("leave refused: %s", resp.Status)
+	}
+	return nil
+}
+
 // serve takes one request.
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -134,6 +134,9 @@
 	announced  announced
 	// ended holds the starts of targets that have said that they leave.
 	ended map[start]bool
+	// departed is when a target that had not announced itself said that it
+	// leaves, by its instance.
+	departed map[string]time.Time
 
 	// known holds control addresses by the daemon's name, also of daemons that
 	// are gone.
@@ -212,6 +215,7 @@
 		base:       map[string]string{},
 		spoilt:     map[shifter.Order]bool{},
 		ended:      map[start]bool{},
+		departed:   map[string]time.Time{},
 		known:      map[string]string{},
 		probing:    make(chan struct{}, memberCalls),
 		changed:    make(chan struct{}, 1),
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -384,6 +384,41 @@
 	_ = a
 }
 
+// TestLeaveBeforeAnyAnnouncement restarts a daemon that hears that its target
+// leaves before a report that was sent earlier, and then of a new start.
+func TestLeaveBeforeAnyAnnouncement(t *testing.T) {
+	m := newMesh(t)
+	a := m.add("zilina", "renewal", "v1")
+	b := m.add("martin", "renewal", "v1")
+	m.plan(1, safe)
+	m.awaitMembers()
+	b.beats()
+	b.stop()
+	<-b.ended
+	b.start()
+	m.await("the leave is taken", func() bool {
+		return b.backend.Leave(t.Context(), b.settings.Listen.Operator, base) == nil
+	})
+	if err := b.backend.Report(t.Context(), b.settings.Listen.Operator, base); err != nil {
+		t.Fatal(err)
+	}
+	m.await("a plan", func() bool { return b.gauge("plan.version") > 0 })
+	before := len(b.backend.Arrivals())
+	for i := range 40 {
+		a.call("GET", "/s/", fmt.Sprint("a-", i), "")
+		b.call("GET", "/s/", fmt.Sprint("b-", i), "")
+	}
+	if after := len(b.backend.Arrivals()); after != before {
+		t.Errorf("%d requests reached the target after it had said that it leaves", after-before)
+	}
+	b.backend.Crash()
+	if err := b.backend.Start(b.backend.Address(), b.backend.Instance()); err != nil {
+		t.Fatal(err)
+	}
+	b.startBeats()
+	m.await("the new start under the same name", func() bool { return strings.HasPrefix(b.call("GET", "/s/", "id", "").body, "i-martin-2") })
+}
+
 // TestConfigurationChanges moves a rule to another service.
 func TestConfigurationChanges(t *testing.T) {
 	m := newMesh(t)
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -73,7 +73,7 @@
 
 // outdated reports whether an announcement is older than what is known.
 func (d *Daemon) outdated(a, last Announcement) bool {
-	if d.ended[start{instance: a.Instance, born: a.Born}] {
+	if d.hasEnded(a) {
 		return true
 	}
 	if last.Instance == "" {
@@ -85,9 +85,25 @@
 	return a.Instance == last.Instance && a.Sequence < last.Sequence
 }
 
+// hasEnded reports whether an announcement is of a start that has said that it
+// leaves, perhaps before any announcement of it was heard. A target that is
+// started again under the same name is born after that.
+func (d *Daemon) hasEnded(a Announcement) bool {
+	s := start{
+		instance: a.Instance,
+		born:     a.Born,
+	}
+	if left, ok := d.departed[a.Instance]; ok && !a.Born.After(left) {
+		d.ended[s] = true
+	}
+	return d.ended[s]
+}
+
 // depart takes in that a target leaves.
 func (d *Daemon) depart(a Announcement, last announced) {
 	if last.Instance != a.Instance {
+		d.departed[a.Instance] = d.clock.Now()
+		d.log.Info("target leaves that has not announced itself here", "instance", a.Instance, "known", last.Instance)
 		return
 	}
 	d.ended[start{instance: last.Instance, born: last.Born}] = true
