Repeat a request once at most after tries that may have run

Its entry repeated it twice, and the second repeat outran the news of the second death by 50 ms (a-2 dies at 21.256 s, a-0 hears of the quarantine at 21.306 s). Ruled out: the quarantine (29 repeats by the client were refused). Change: the retrier counts tries that may have run; two are the most. Before: the new case of TestVerdictsDecide made a third try.

--- a/internal/challenger/call.go
+++ b/internal/challenger/call.go
@@ -20,7 +20,9 @@
 	work     time.Duration
 	measured bool
 
-	tries int
+	// unclear counts the tries that may have run.
+	tries, unclear int
+
 	tried []string
 	runs  int
 	// worst is the failure of the tries that promises least.
@@ -289,10 +291,14 @@
 // retry makes another try if the retrier allows it.
 func (c *call) retry(err error) {
 	c.worst = retrier.Worse(c.worst, err)
+	if classifier.Of(err) == classifier.MayHaveRun {
+		c.unclear++
+	}
 	allowed := c.entry.retrier.Allow("", retrier.Try{
 		Once:       c.once,
 		Verdict:    classifier.Of(err),
 		Tries:      c.tries,
+		Unclear:    c.unclear,
 		Left:       c.deadline.Sub(c.fleet.loop.clock.Now()),
 		Resendable: true,
 	})
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -1,8 +1,8 @@
 // Package retrier repeats failed tries of a call where its verdict allows it.
 //
 // A try that has provably not run may be repeated on any route, one that may
-// have run only on a route that is not marked once, and one that has run
-// never. Each retry takes a token from its service's budget, which successes
+// have run only on a route that is not marked once and not more than once, and
+// one that has run never. Each retry takes a token from its service's budget, which successes
 // fill, and needs time before the caller's deadline and a body that can still
 // be sent whole.
 package retrier
@@ -24,6 +24,9 @@
 const (
 	// maxTries bounds the tries of one call, the first one included.
 	maxTries = 3
+	// maxUnclear bounds the tries of one call that may have run: a request that
+	// crashes targets ends two of them at most, however late the others hear.
+	maxUnclear = 2
 	// lateFactor is how many times the service's goal a try may take before it
 	// is given up for another.
 	lateFactor = 2
@@ -49,8 +52,9 @@
 	Verdict classifier.Verdict
 	// Shed means that the target itself answered that it is overloaded.
 	Shed bool
-	// Tries counts the call's tries so far.
-	Tries int
+	// Tries counts the call's tries so far, and Unclear those of them that may
+	// have run.
+	Tries, Unclear int
 	// Left is the time before the caller's deadline.
 	Left time.Duration
 	// Resendable means that the body can still be sent whole.
@@ -66,7 +70,7 @@
 	case classifier.NotRun:
 		return true
 	case classifier.MayHaveRun:
-		return !t.Once
+		return !t.Once && t.Unclear < maxUnclear
 	default:
 		return t.Shed && !t.Once
 	}
@@ -92,15 +96,19 @@
 	return func(ctx context.Context, request any) (any, error) {
 		call := request.(*forwarder.Call)
 		var worst error
+		unclear := 0
 		for tries := 1; ; tries++ {
 			answer, err := r.tryOnce(ctx, call, tries, next)
 			shed := err == nil && isShed(answer)
+			if err != nil && classifier.Of(err) == classifier.MayHaveRun {
+				unclear++
+			}
 			if err == nil && !shed {
 				r.count(call.Match.Service, answer)
 				return answer, nil
 			}
 			allowed := !errors.Is(err, forwarder.ErrNoServing) &&
-				r.Allow(call.Match.Service, r.try(ctx, call, tries, err, shed))
+				r.Allow(call.Match.Service, r.try(ctx, call, tries, unclear, err, shed))
 			if shed && !allowed {
 				return answer, nil
 			}
@@ -161,12 +169,13 @@
 	}
 }
 
-func (r *Retrier) try(ctx context.Context, call *forwarder.Call, tries int, err error, shed bool) Try {
+func (r *Retrier) try(ctx context.Context, call *forwarder.Call, tries, unclear int, err error, shed bool) Try {
 	t := Try{
 		Once:       call.Match.Route.Once,
 		Verdict:    classifier.Of(err),
 		Shed:       shed,
 		Tries:      tries,
+		Unclear:    unclear,
 		Left:       leastLeft,
 		Resendable: call.Resendable(),
 	}
--- a/internal/retrier/retrier_test.go
+++ b/internal/retrier/retrier_test.go
@@ -93,6 +93,7 @@
 		{"not run, once", true, []end{notRun, good}, 2, 200, 0},
 		{"may have run, once", true, []end{may, good}, 1, 0, classifier.MayHaveRun},
 		{"may have run", false, []end{may, good}, 2, 200, 0},
+		{"may have run, twice", false, []end{may, may, good}, 2, 0, classifier.MayHaveRun},
 		{"ran", false, []end{ran, good}, 1, 0, classifier.Ran},
 		{"shed, once", true, []end{shed, good}, 1, 503, 0},
 		{"shed", false, []end{shed, good}, 2, 200, 0},
