Read the soak and its stand-ins once more

Change: one function for the calls, true names and a true comment. After: go vet and staticcheck clean; the tests of soaker, emulator and sidecar pass with the race detector.

--- a/cmd/coltsfootsoak/main.go
+++ b/cmd/coltsfootsoak/main.go
@@ -84,8 +84,8 @@
 		return r, fmt.Errorf("seed %d: %w", o.Seed, err)
 	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "seed %d: %d broken, %d requests, %d answered, %d refused or failed, %d excused, %d arrivals, %d events, %v\n",
-		r.Seed, len(r.Broken), r.Counts.Requests, r.Counts.Answered, r.Counts.Refused, r.Counts.Excused, r.Counts.Arrivals, len(r.Events),
+	fmt.Fprintf(&text, "seed %d: %d broken, %d requests, %d answered, %d refused or failed, %d unanswered, %d arrivals, %d events, %v\n",
+		r.Seed, len(r.Broken), r.Counts.Requests, r.Counts.Answered, r.Counts.Refused, r.Counts.Unanswered, r.Counts.Arrivals, len(r.Events),
 		time.Since(began).Round(time.Second))
 	if events {
 		for _, e := range r.Events {
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -169,29 +169,23 @@
 		"seq":            b.sequence,
 		"born":           b.born.UnixMilli(),
 	})
-	url := fmt.Sprintf("http://%s%sinstances/%s", daemon, base, b.instance)
+	instance := b.instance
 	b.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(data))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("report refused: %s", resp.Status)
-	}
-	return nil
+	return tell(ctx, http.MethodPut, daemon, base, instance, data)
 }
 
 // Leave tells the daemon at an address that the target leaves.
 func (b *Backend) Leave(ctx context.Context, daemon, base string) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, fmt.Sprintf("http://%s%sinstances/%s", daemon, base, b.Instance()), nil)
+	return tell(ctx, http.MethodDelete, daemon, base, b.Instance(), nil)
+}
+
+// tell makes a call about an instance to the daemon at an address.
+func tell(ctx context.Context, method, daemon, base, instance string, data []byte) error {
+	url := fmt.Sprintf("http://%s%sinstances/%s", daemon, base, instance)
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
 	if err != nil {
 		return err
 	}
@@ -201,7 +195,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("leave refused: %s", resp.Status)
+		return fmt.Errorf("%s refused: %s", method, resp.Status)
 	}
 	return nil
 }
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -108,9 +108,6 @@
 // Base is the path that the stand-in platform's calls to daemons begin with.
 const Base = "/coltsfootlane/"
 
-// ReadyPath is where the platform asks a daemon whether it is ready.
-const ReadyPath = Base + "readyz"
-
 // echoed splits a target's answer into its parts.
 func echoed(body string) (instance, path, sent string, ok bool) {
 	parts := strings.SplitN(body, " ", 3)
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -77,16 +77,16 @@
 func (l *Ledger) since(from time.Time, service, version string) (all, reached int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, run := range l.runs {
-		if run.Service != service {
+	for _, start := range l.starts {
+		if start.Service != service {
 			continue
 		}
-		for _, a := range run.Arrivals {
+		for _, a := range start.Arrivals {
 			if a.At.Before(from) {
 				continue
 			}
 			all++
-			if run.Version == version {
+			if start.Version == version {
 				reached++
 			}
 		}
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -73,7 +73,7 @@
 type Ledger struct {
 	mu       sync.Mutex
 	requests map[string]Request
-	runs     []Start
+	starts   []Start
 	notes    []string
 }
 
@@ -90,10 +90,10 @@
 }
 
 // AddStart notes a start of a target that has ended.
-func (l *Ledger) AddStart(r Start) {
+func (l *Ledger) AddStart(s Start) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs = append(l.runs, r)
+	l.starts = append(l.starts, s)
 }
 
 // Note adds a broken promise that was seen elsewhere.
@@ -105,7 +105,7 @@
 
 // Counts are the sizes of a ledger.
 type Counts struct {
-	Requests, Answered, Refused, Excused, Arrivals int
+	Requests, Answered, Refused, Unanswered, Arrivals int
 }
 
 // Counts returns the ledger's sizes.
@@ -116,20 +116,20 @@
 	for _, r := range l.requests {
 		switch {
 		case r.Err != nil:
-			c.Excused++
+			c.Unanswered++
 		case r.Reply.Status == 200:
 			c.Answered++
 		default:
 			c.Refused++
 		}
 	}
-	for _, run := range l.runs {
-		c.Arrivals += len(run.Arrivals)
+	for _, start := range l.starts {
+		c.Arrivals += len(start.Arrivals)
 	}
 	return c
 }
 
-// Broken returns the promises that were broken, once all requests and runs have
+// Broken returns the promises that were broken, once all requests and starts have
 // ended. Length is how long the soak took.
 func (l *Ledger) Broken(length time.Duration) []string {
 	l.mu.Lock()
@@ -138,18 +138,18 @@
 	ran := map[string]int{}
 	at := map[string]map[string]bool{}
 	arrivals := 0
-	for _, run := range l.runs {
-		broken = append(broken, run.broken()...)
-		for _, a := range run.Arrivals {
+	for _, start := range l.starts {
+		broken = append(broken, start.broken()...)
+		for _, a := range start.Arrivals {
 			arrivals++
-			broken = append(broken, l.unasked(run, a)...)
+			broken = append(broken, l.unasked(start, a)...)
 			if a.Ran {
 				ran[a.ID]++
 			}
 			if at[a.ID] == nil {
 				at[a.ID] = map[string]bool{}
 			}
-			at[a.ID][run.Instance] = true
+			at[a.ID][start.Instance] = true
 		}
 	}
 	for id, r := range l.requests {
@@ -163,15 +163,15 @@
 }
 
 // unasked says what is wrong with an arrival by itself.
-func (l *Ledger) unasked(run Start, a emulator.Arrival) []string {
+func (l *Ledger) unasked(start Start, a emulator.Arrival) []string {
 	r, ok := l.requests[a.ID]
 	switch {
 	case !ok:
-		return []string{fmt.Sprintf("unasked: %s got %q, which no client has sent", run.Instance, a.ID)}
+		return []string{fmt.Sprintf("unasked: %s got %q, which no client has sent", start.Instance, a.ID)}
 	case a.Path != r.Call.Path || a.Body != r.Call.Body:
-		return []string{fmt.Sprintf("mixed: %s got %q with another path or body", run.Instance, a.ID)}
+		return []string{fmt.Sprintf("mixed: %s got %q with another path or body", start.Instance, a.ID)}
 	case a.Caller != r.Caller:
-		return []string{fmt.Sprintf("caller: %s got %q from %q, want %q", run.Instance, a.ID, a.Caller, r.Caller)}
+		return []string{fmt.Sprintf("caller: %s got %q from %q, want %q", start.Instance, a.ID, a.Caller, r.Caller)}
 	}
 	return nil
 }
@@ -215,9 +215,9 @@
 
 // held reports whether a link held what was sent to the target until a moment,
 // or a little before.
-func (r Start) held(at time.Time) bool {
-	for _, s := range r.Held {
-		if at.After(s.from) && at.Before(s.to.Add(drainSlack)) {
+func (s Start) held(at time.Time) bool {
+	for _, held := range s.Held {
+		if at.After(held.from) && at.Before(held.to.Add(drainSlack)) {
 			return true
 		}
 	}
@@ -225,17 +225,17 @@
 }
 
 // broken returns what the arrivals at a target break.
-func (r Start) broken() []string {
+func (s Start) broken() []string {
 	var broken []string
-	if r.Most > r.Slots && len(r.Held) == 0 {
-		broken = append(broken, fmt.Sprintf("slots: %s ran %d at once, has %d", r.Instance, r.Most, r.Slots))
+	if s.Most > s.Slots && len(s.Held) == 0 {
+		broken = append(broken, fmt.Sprintf("slots: %s ran %d at once, has %d", s.Instance, s.Most, s.Slots))
 	}
 	var cold []time.Time
-	for _, a := range r.Arrivals {
-		if !r.Drained.IsZero() && a.At.After(r.Drained.Add(drainSlack)) && !r.held(a.At) {
-			broken = append(broken, fmt.Sprintf("drain: %s got %q %v after its daemon knew that it drains", r.Instance, a.ID, a.At.Sub(r.Drained)))
+	for _, a := range s.Arrivals {
+		if !s.Drained.IsZero() && a.At.After(s.Drained.Add(drainSlack)) && !s.held(a.At) {
+			broken = append(broken, fmt.Sprintf("drain: %s got %q %v after its daemon knew that it drains", s.Instance, a.ID, a.At.Sub(s.Drained)))
 		}
-		if a.Ran && a.At.Before(r.Warm) {
+		if a.Ran && a.At.Before(s.Warm) {
 			cold = append(cold, a.At)
 		}
 	}
@@ -248,7 +248,7 @@
 			}
 		}
 		if float64(n) > limit {
-			return append(broken, fmt.Sprintf("cold: %s ran %d requests in a second while cold, bears %.0f", r.Instance, n, limit))
+			return append(broken, fmt.Sprintf("cold: %s ran %d requests in a second while cold, bears %.0f", s.Instance, n, limit))
 		}
 	}
 	return broken
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -64,7 +64,8 @@
 const (
 	// recoveryTime is when all requests are answered again after the last fault.
 	recoveryTime = 15 * time.Second
-	// returnTime is when the store holds the daemons' keys again.
+	// returnTime is when the store holds the daemons' keys again, once all
+	// requests are answered. The pages say about two seconds of its return.
 	returnTime = 4 * time.Second
 	// evacuateTime is when a zone that is out gets nothing any more.
 	evacuateTime = 5 * time.Second
