Wait for addresses that a process being started still holds, in the soak

A soak looks for free addresses by listening and closing; a process that another soak is just starting has the closed socket too until it executes its program. A loop that listens, closes and listens again beside one that starts processes failed 300 times of 20,000. Ruled out: addresses handed out twice (the port only rises); outgoing connections (their ports begin at 32768). Conclusion: the fault was the soak's own.

--- a/internal/soaker/link.go
+++ b/internal/soaker/link.go
@@ -37,9 +37,9 @@
 
 // NewLink listens on an address for a server at another.
 func NewLink(address, server string) (*Link, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := listen(address)
 	if err != nil {
-		return nil, Class.Wrap(err)
+		return nil, err
 	}
 	l := &Link{
 		listener: ln,
--- a/internal/soaker/node.go
+++ b/internal/soaker/node.go
@@ -66,8 +66,8 @@
 		Clock:   timekeeper.System{},
 	}
 	name := fmt.Sprintf("%s-%s-%d", n.settings.Name, version, n.starts)
-	if err := b.Start(n.target, name); err != nil {
-		return Class.Wrap(err)
+	if err := whenFree(func() error { return b.Start(n.target, name) }); err != nil {
+		return err
 	}
 	n.current = Start{
 		Service:  n.service,
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -182,9 +182,9 @@
 }
 
 func (s *soak) startStore() error {
-	ln, err := net.Listen("tcp", s.address())
+	ln, err := listen(s.address())
 	if err != nil {
-		return Class.Wrap(err)
+		return err
 	}
 	s.store = ln
 	s.storeServer = &http.Server{
