Count the way to a target into the wait that is worth there

Cause: a request waits at a target's gate only for as long as the next best target is worse, as if it stood before both; when it has come to the gate, the way there is behind it. Ruled out: sends to targets known to be unreachable (the refusals come from the gates, with their queues full). Change: the margin that is the request's patience contains the mean way.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -133,8 +133,8 @@
 // Choice is a chosen target.
 type Choice struct {
 	Target
-	// Margin is by how much the next best target is worse: a wait there is worth
-	// as much.
+	// Margin is by how much the next best target is worse for a request that has
+	// already come to the chosen one: a wait there is worth as much.
 	Margin time.Duration
 }
 
@@ -162,13 +162,15 @@
 			second = min(second, estimate)
 		}
 	}
-	choice.Margin = second - cost
+	if ok {
+		choice.Margin = second - cost + c.state(choice.Instance, now).way(now)
+	}
 	return choice, ok
 }
 
 // cost estimates the time to an answer from a target.
 func (c *Chooser) cost(s *state, t Target, w Wanted, now time.Time) time.Duration {
-	stale := min(1, float64(now.Sub(s.heard))/float64(trustTime))
+	stale := s.stale(now)
 	work, known := s.work[w.Rule]
 	if !known {
 		work = c.expected(w.Rule)
@@ -176,7 +178,7 @@
 	work += time.Duration(stale * float64(c.expected(w.Rule)-work))
 	slots := max(1, t.Slots)
 	load := max(s.underWay, s.load.Running+s.load.Queued+s.underWay-s.underWayThen)
-	cost := work + time.Duration((1-stale)*float64(s.lag))
+	cost := work + s.way(now)
 	cost += time.Duration(float64(work) * loadSlowdown * min(1, float64(load)/float64(slots)))
 	if over := load + 1 - slots; over > 0 {
 		cost += work * time.Duration(over) / time.Duration(slots)
@@ -194,6 +196,16 @@
 	return cost
 }
 
+// stale is how little is believed of what was heard of the target, 0 to 1.
+func (s *state) stale(now time.Time) float64 {
+	return min(1, float64(now.Sub(s.heard))/float64(trustTime))
+}
+
+// way returns the time that a request is expected to take to the target and back.
+func (s *state) way(now time.Time) time.Duration {
+	return time.Duration((1 - s.stale(now)) * float64(s.lag))
+}
+
 func (c *Chooser) expected(rule string) time.Duration {
 	if work, ok := c.work[rule]; ok {
 		return work
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -210,3 +210,27 @@
 		t.Errorf("margin %v of a target without another", alone.Margin)
 	}
 }
+
+// TestMarginHoldsTheWay lets a request wait for longer at a target that it has
+// taken long to come to.
+func TestMarginHoldsTheWay(t *testing.T) {
+	margin := func(lag time.Duration) time.Duration {
+		c, _ := newChooser()
+		for _, instance := range []string{"a", "b"} {
+			for range 50 {
+				c.Heard(instance, "status", chooser.Load{Slots: 4, Work: 60 * time.Millisecond, Lag: lag})
+			}
+		}
+		choice, ok := c.Pick([]chooser.Target{near("a"), near("b")}, chooser.Wanted{Rule: "status"})
+		if !ok {
+			t.Fatal("nothing chosen")
+		}
+		return choice.Margin
+	}
+	if got := margin(80 * time.Millisecond); got < 75*time.Millisecond {
+		t.Errorf("a way of 80 ms leaves a margin of %v", got)
+	}
+	if got := margin(0); got > 30*time.Millisecond {
+		t.Errorf("no way leaves a margin of %v", got)
+	}
+}
