Leave a store that is away to the relays

Change: a daemon that isn't a relay and has a copy of the records pauses 2 s after a call that failed; it hears from the relays when the store is back.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -23,7 +23,8 @@
 	// watchTime is how long the platform is asked to hold a watch; each one
 	// counts as a call.
 	watchTime = 25 * time.Second
-	// retryPause is the pause after a call that failed.
+	// retryPause is the pause after a call that failed, unless Pause says
+	// otherwise.
 	retryPause = 300 * time.Millisecond
 	// firstPause is the pause between the first read and the first watch, in
 	// which daemons learn who watches.
@@ -50,6 +51,9 @@
 	Watching func() bool
 	// Changed is called with each newer copy, one at a time and in order.
 	Changed func(c Copy)
+	// Pause returns the pause after a call that failed while a copy is known; nil
+	// means 300 ms.
+	Pause func() time.Duration
 	// Reached is told whether the last call to the platform was answered.
 	Reached func(ok bool, err error)
 
@@ -121,11 +125,19 @@
 		f.Reached(err == nil || errors.Is(err, storer.ErrCompacted), err)
 		watching = err == nil || (watching && !errors.Is(err, storer.ErrCompacted))
 		if err != nil && !errors.Is(err, storer.ErrCompacted) {
-			pause(ctx, retryPause)
+			pause(ctx, f.retryPause())
 		}
 	}
 }
 
+// retryPause returns the pause after a call that failed.
+func (f *Follower) retryPause() time.Duration {
+	if _, known := f.Copy(); known && f.Pause != nil {
+		return f.Pause()
+	}
+	return retryPause
+}
+
 // read reads all items.
 func (f *Follower) read(ctx context.Context) error {
 	span, err := f.Platform.Range(ctx, f.Prefix)
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -198,3 +198,38 @@
 		t.Errorf("the change was seen after %v", took)
 	}
 }
+
+// TestPauseAfterFailure leaves the platform alone for as long as Pause says once
+// a copy is known.
+func TestPauseAfterFailure(t *testing.T) {
+	records := emulator.NewRecords(timekeeper.System{})
+	server := httptest.NewServer(records.Handler("/coltsfootlane/"))
+	defer server.Close()
+	paused := make(chan struct{}, 8)
+	f := &follower.Follower{
+		Prefix:   "op/",
+		Platform: platform.Store(server.Listener.Addr().String(), time.Second),
+		Pause: func() time.Duration {
+			paused <- struct{}{}
+			return time.Hour
+		},
+		Changed: func(follower.Copy) { records.SetFaults(emulator.RecordFaults{Refuse: 503}) },
+		Reached: func(bool, error) {},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(ended)
+	}()
+	select {
+	case <-paused:
+	case <-time.After(patience):
+		t.Error("no pause after a failure")
+	}
+	cancel()
+	<-ended
+	if len(paused) > 0 {
+		t.Error("called again during the pause")
+	}
+}
--- a/internal/sidecar/registration.go
+++ b/internal/sidecar/registration.go
@@ -25,8 +25,10 @@
 	renewPeriod = 1900 * time.Millisecond
 	restPeriod  = 6 * time.Second
 	renewSpread = time.Second
-	// registerPause is the pause after a call to the store that failed.
+	// registerPause is a relay's pause after a call to the store that failed, and
+	// restPause that of the others, who hear from a relay when the store is back.
 	registerPause = 500 * time.Millisecond
+	restPause     = 2 * time.Second
 	// relookPeriod is how often daemons are looked up again, should groups
 	// have come up that don't know each other.
 	relookPeriod = time.Minute
@@ -59,7 +61,7 @@
 			d.renewWatches()
 		}
 		if err != nil {
-			pause(ctx, registerPause)
+			d.awaitCall(ctx, registerPause, restPause)
 			continue
 		}
 		if !d.clock.Now().Before(relook) && d.lookUp(ctx) == nil {
@@ -68,15 +70,16 @@
 				relook = d.clock.Now().Add(firstRelook)
 			}
 		}
-		d.awaitRenewal(ctx)
+		d.awaitCall(ctx, renewPeriod, restPeriod)
 	}
 }
 
-// awaitRenewal waits until the lease is to be renewed.
-func (d *Daemon) awaitRenewal(ctx context.Context) {
-	period := restPeriod
+// awaitCall waits until the store is to be called next: for a time that depends on
+// whether the daemon is a relay, or until the news that the store is back.
+func (d *Daemon) awaitCall(ctx context.Context, relay, other time.Duration) {
+	period := other
 	if d.isRelay() {
-		period = renewPeriod
+		period = relay
 	}
 	timer := time.NewTimer(period)
 	defer timer.Stop()
--- a/internal/sidecar/relays.go
+++ b/internal/sidecar/relays.go
@@ -19,6 +19,11 @@
 	// a daemon relies on that.
 	newsPeriod = 500 * time.Millisecond
 	newsTrust  = 1600 * time.Millisecond
+	// relayRetry is a relay's pause after a watch that failed, and watchRetry that
+	// of the others, who learn what changes from a relay once it reaches the
+	// store.
+	relayRetry = 300 * time.Millisecond
+	watchRetry = 2 * time.Second
 )
 
 // news is what a relay tells of the records it has.
@@ -56,6 +61,14 @@
 	return d.isRelay() || heard == nil || d.clock.Now().Sub(*heard) > newsTrust
 }
 
+// retryPause returns the pause after a watch that failed.
+func (d *Daemon) retryPause() time.Duration {
+	if d.isRelay() {
+		return relayRetry
+	}
+	return watchRetry
+}
+
 // reachesStore reports whether the daemon's calls to the store are answered.
 func (d *Daemon) reachesStore() bool {
 	return d.isReached("store "+d.operator.Prefix) && d.isReached("store registration")
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -557,6 +557,40 @@
 	}
 }
 
+// TestFewCallsWhileStoreIsAway leaves a store that is away to the relays.
+func TestFewCallsWhileStoreIsAway(t *testing.T) {
+	const (
+		away   = 6 * time.Second
+		others = 6
+		// perRelay and perOther are calls a second: two watches and a lease.
+		perRelay, perOther = 9, 2
+	)
+	m := newMesh(t)
+	for range 2 + others {
+		m.add("zilina", "renewal", "v1")
+	}
+	m.plan(1, safe)
+	m.awaitMembers()
+	m.await("keys", func() bool {
+		for _, n := range m.nodes {
+			if !m.records.Registered(n.settings.Name) {
+				return false
+			}
+		}
+		return true
+	})
+	calls := func() int {
+		return m.records.Calls("watch") + m.records.Calls("keep") + m.records.Calls("lease") + m.records.Calls("range")
+	}
+	m.records.SetFaults(emulator.RecordFaults{Refuse: 503})
+	before := calls()
+	time.Sleep(away)
+	most := int(away/time.Second) * (2*perRelay + others*perOther)
+	if n := calls() - before; n > most {
+		t.Errorf("%d calls in %v, want at most %d", n, away, most)
+	}
+}
+
 // TestAddressIsUsedAgain puts another daemon at the addresses of one that is gone.
 func TestAddressIsUsedAgain(t *testing.T) {
 	m := newMesh(t)
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -92,6 +92,7 @@
 		Prefix:   prefix,
 		Platform: d.platform.Store,
 		Watching: d.watching,
+		Pause:    d.retryPause,
 		Changed: func(c follower.Copy) {
 			changed(c)
 			d.notify()
