--- /dev/null
+++ b/internal/carrier/bench_test.go
@@ -0,0 +1,31 @@
+package carrier_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
+	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+)
+
+// BenchmarkSend sends small orders and takes their answers.
+func BenchmarkSend(b *testing.B) {
+	s := newServer(func(ctx context.Context, _ *carrier.Order) (*carrier.Answer, error) {
+		carrier.Started(ctx)
+		return &carrier.Answer{
+			Status: 200,
+			Body:   make([]byte, 200),
+			Load:   chooser.Load{Running: 1, Slots: 6, Work: 20 * time.Millisecond},
+		}, nil
+	})
+	defer s.Close()
+	client := newClient()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := client.Send(b.Context(), s.Listener.Addr().String(), order(matcher.Idempotent, "")); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -27,14 +29,18 @@
 	}
 }
 
-// serve starts a daemon's side that delivers by a function.
-func serve(t *testing.T, deliver carrier.Deliver) string {
-	t.Helper()
-	s := httptest.NewServer(&carrier.Server{
+func newServer(deliver carrier.Deliver) *httptest.Server {
+	return httptest.NewServer(&carrier.Server{
 		Key:     key,
 		Deliver: deliver,
 		MaxBody: func() int64 { return 1 << 20 },
 	})
+}
+
+// serve starts a daemon's side that delivers by a function.
+func serve(t *testing.T, deliver carrier.Deliver) string {
+	t.Helper()
+	s := newServer(deliver)
 	t.Cleanup(func() {
 		s.CloseClientConnections()
 		s.Close()
@@ -311,3 +317,40 @@
 		t.Errorf("the shared failure changed: %+v", shared)
 	}
 }
+
+// TestProgress tells the sender of a slow order that it was taken.
+func TestProgress(t *testing.T) {
+	for name, test := range map[string]struct {
+		body string
+	}{
+		"without a body": {},
+		"with a body":    {body: strings.Repeat("x", 100<<10)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			told := make(chan struct{}, 1)
+			address := serve(t, func(ctx context.Context, _ *carrier.Order) (*carrier.Answer, error) {
+				carrier.Started(ctx)
+				<-told
+				return &carrier.Answer{Status: 200}, carrier.ReadBody(ctx)
+			})
+			var got atomic.Int32
+			ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+				Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
+					if code == http.StatusProcessing {
+						got.Add(1)
+						told <- struct{}{}
+					}
+					return nil
+				},
+			})
+			client := newClient()
+			client.Keep = func() bool { return true }
+			if _, err := client.Send(ctx, address, order(matcher.Idempotent, test.body)); err != nil {
+				t.Fatal(err)
+			}
+			if got.Load() != 1 {
+				t.Errorf("told %d times", got.Load())
+			}
+		})
+	}
+}
