coltsfootd: don't end on SIGHUP during the start

A daemon that had SIGHUP before it had read its settings ended with the signal, and the connections and attempts that it was about to serve with it: the handler was installed only after the settings were read and the daemon was made.

The handler is installed before the settings are read; a signal that came before the daemon runs makes it read them once more. A daemon on its own log, which has nothing to reload, ends on SIGHUP as before.

--- a/cmd/coltsfootd/main.go
+++ b/cmd/coltsfootd/main.go
@@ -40,22 +40,26 @@
 	app := kingpin.New("coltsfootd", help)
 	path := app.Flag("settings", "File with the daemon's settings, JSON with comments.").Short('s').Required().String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	// Without a handler, SIGHUP would end a daemon that is reading its settings.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := loader.Load(*path)
 	if err != nil {
 		log.Error("settings refused", "err", err)
 		os.Exit(exitSettings)
 	}
-	if err := run(*path, settings); err != nil {
+	if err := run(*path, settings, hangups); err != nil {
 		log.Error("daemon failed", "err", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func run(path string, settings loader.Settings) error {
+func run(path string, settings loader.Settings, hangups chan os.Signal) error {
 	ctx := shutdownContext()
 	if settings.Sidecar != nil {
-		return runSidecar(ctx, path, settings)
+		return runSidecar(ctx, path, settings, hangups)
 	}
+	signal.Stop(hangups)
 	return server.New(server.Options{
 		Settings: settings,
 		Platform: storer.NewHTTP(settings.Platform, settings.PlatformTimeout.Duration),
@@ -78,7 +82,7 @@
 }
 
 // runSidecar runs the daemon in sidecar mode with the adapter of package platform.
-func runSidecar(ctx context.Context, path string, settings loader.Settings) error {
+func runSidecar(ctx context.Context, path string, settings loader.Settings, hangups <-chan os.Signal) error {
 	clock := timekeeper.System{}
 	out := narrator.New(os.Stdout)
 	defer out.Close()
@@ -91,18 +95,16 @@
 		Clock:    clock,
 		Log:      logger,
 	})
-	go reload(ctx, path, daemon, logger)
+	go reload(ctx, path, hangups, daemon, logger)
 	return daemon.Run(ctx)
 }
 
-// reload reloads the settings on SIGHUP until ctx is done. If the file cannot be
+// reload reloads the settings for each value of hangups until ctx is done. If the file cannot be
 // loaded, the current settings stay in force.
-func reload(ctx context.Context, path string, daemon *sidecar.Daemon, logger *log.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
+func reload(ctx context.Context, path string, hangups <-chan os.Signal, daemon *sidecar.Daemon, logger *log.Logger) {
 	for {
 		select {
-		case <-signals:
+		case <-hangups:
 		case <-ctx.Done():
 			return
 		}
