forwarder: bound the head of a response

What callers saw: a target that sends a head without end (a status line, a header, headers, informational responses, bytes that are no HTTP) held its slot until the request's deadline, while up to 10 MiB of it were kept in memory for each of 48 connections.

Cause: the transport had the default bound of net/http, 10 MiB.

Evidence, before the change (10 s deadline; the target sends 1 KiB at a time with 100 us between):

--- FAIL: TestEndlessResponse (49.84s) --- FAIL: TestEndlessResponse/noise (10.00s) result {Status:0 Duration:10.001126115s Err:no answer in time (may-have-run): context deadline exceeded Aborted:false TimedOut:true}, want a failure of the target before the deadline the target could send 8693760 bytes, want at most 524288 --- FAIL: TestEndlessResponse/headers (9.79s) the target could send bytes, want at most 524288 (status line, header, interim: the same)

What already held, and is tested now: chunk extensions and trailers without end, responses that trickle (they end at the deadline), and bytes after a complete response, at once or on the idle connection.

Change: transports accept heads of 128 KiB, that of the target 64 KiB, including informational responses. The failure says "head of the answer too long" with the bytes read; the verdict stays may-have-run, and the request is not suspected of having crashed the target. order.overlong counts such failures.

Result: all cases of TestEndlessResponse pass; go test -race of forwarder and deliverer ok; TestBytesAfterResponse 30 times with -race (1,200 requests) ok.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -191,7 +191,13 @@
 // broke or was refused, for example because the target has exited.
 func isConnectionError(err error) bool {
 	var f *classifier.Failure
-	return errors.As(err, &f) && f.Err != nil
+	return errors.As(err, &f) && f.Err != nil && !IsTooLong(err)
+}
+
+// IsTooLong reports whether err means that the target's response exceeds a bound.
+func IsTooLong(err error) bool {
+	var tooLong *forwarder.TooLongError
+	return errors.As(err, &tooLong)
 }
 
 // newRequest returns the request to the target.
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -50,8 +52,15 @@
 	Dial time.Duration
 	// Idle is the time after which an unused connection is closed.
 	Idle time.Duration
+	// MaxResponseHead bounds the head of a response in bytes, together with the
+	// informational responses before it; 0 means defaultMaxResponseHead.
+	MaxResponseHead int64
 }
 
+// defaultMaxResponseHead allows for the head of a target's response to grow on its
+// way between daemons.
+const defaultMaxResponseHead = 128 << 10
+
 // NewTransportWith returns a transport with the given options. A connection is
 // closed if the peer does not acknowledge sent data in time.
 func NewTransportWith(o TransportOptions) *http.Transport {
@@ -65,19 +74,22 @@
 		},
 		Control: setUserTimeout,
 	}
+	maxHead := cmp.Or(o.MaxResponseHead, defaultMaxResponseHead)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return &countingConn{Conn: conn, maxHead: maxHead}, nil
 		},
 		DisableCompression:    true,
 		MaxIdleConnsPerHost:   o.MaxConnections,
 		MaxConnsPerHost:       o.MaxConnections,
 		IdleConnTimeout:       o.Idle,
 		ExpectContinueTimeout: maxTimeout,
+
+		MaxResponseHeaderBytes: maxHead,
 	}
 }
 
@@ -94,12 +106,22 @@
 	return optionErr
 }
 
-// countingConn is a connection that counts the bytes written to it and the
-// writes in progress.
+// countingConn is a connection that counts the bytes read from it, the bytes
+// written to it and the writes in progress.
 type countingConn struct {
 	net.Conn
+	// maxHead is the transport's bound of a response's head.
+	maxHead       int64
 	pendingWrites atomic.Int64
 	written       atomic.Int64
+	received      atomic.Int64
+}
+
+// Read implements io.Reader and counts the bytes read.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
 }
 
 // Write implements io.Writer and counts the bytes written.
@@ -155,17 +177,19 @@
 	return nil
 }
 
-// connTrace records the connection on which a request is sent, and the number of
-// bytes written to it before the request.
+// connTrace records the connection on which a request is sent, and the numbers of
+// bytes written to it and read from it before the request.
 type connTrace struct {
-	conn        atomic.Pointer[countingConn]
-	connected   atomic.Bool
-	startOffset atomic.Int64
+	conn          atomic.Pointer[countingConn]
+	connected     atomic.Bool
+	startOffset   atomic.Int64
+	startReceived atomic.Int64
 }
 
 func (ct *connTrace) gotConn(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*countingConn); ok {
 		ct.startOffset.Store(c.written.Load())
+		ct.startReceived.Store(c.received.Load())
 		ct.conn.Store(c)
 	}
 	ct.connected.Store(true)
@@ -181,6 +205,26 @@
 	return c != nil && c.pendingWrites.Load() == 0 && c.written.Load() == ct.startOffset.Load()
 }
 
+// headTooLong returns the number of bytes received in response to the request if
+// they reach the bound of a response's head.
+func (ct *connTrace) headTooLong() (received int64, ok bool) {
+	c := ct.conn.Load()
+	if c == nil {
+		return 0, false
+	}
+	received = c.received.Load() - ct.startReceived.Load()
+	return received, received >= c.maxHead
+}
+
+// TooLongError is the cause of a failure if a response exceeds a bound.
+type TooLongError struct {
+	// Read is the number of bytes of the response that have been read.
+	Read int64
+}
+
+// Error implements error.
+func (e *TooLongError) Error() string { return strconv.FormatInt(e.Read, 10) + " bytes read" }
+
 // roundTripFramed sends a request once. It fails if the response has no framing
 // by which its end can be detected.
 func roundTripFramed(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
@@ -209,9 +253,11 @@
 		return nil, classifier.NewFailure(classifier.MayHaveRun, "no answer in time", err)
 	case ct.nothingWritten():
 		return nil, classifier.NewFailure(classifier.NotRun, "connection broke before use", err)
-	default:
-		return nil, classifier.NewFailure(classifier.MayHaveRun, "connection broke", err)
 	}
+	if received, ok := ct.headTooLong(); ok {
+		return nil, classifier.NewFailure(classifier.MayHaveRun, "head of the answer too long", &TooLongError{Read: received})
+	}
+	return nil, classifier.NewFailure(classifier.MayHaveRun, "connection broke", err)
 }
 
 // checkFraming fails if the end of the response could not be distinguished from
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -59,6 +59,9 @@
 func (d *Daemon) observeAttempt(a *carrier.Attempt, r deliverer.Result) {
 	d.time("order", r.Duration)
 	d.judgeAttempt(a, r)
+	if deliverer.IsTooLong(r.Err) {
+		d.incrementCounter("order.overlong")
+	}
 	if r.TargetFailed() {
 		d.incrementCounter("order.failed")
 		d.log.Warn("target failed a request", "request", a.ID, "rule", a.Rule, "target", a.Instance, "version", a.Version,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -201,6 +201,8 @@
 	// close theirs after ten seconds.
 	peerIdleTimeout   = 20 * time.Second
 	targetIdleTimeout = 7 * time.Second
+	// maxTargetHead bounds the head of a target's response, in bytes.
+	maxTargetHead = 64 << 10
 	// controlTimeout bounds a remote call between daemons.
 	controlTimeout = time.Second
 	// maxMemberCalls bounds the membership calls in progress.
@@ -313,9 +315,10 @@
 		Target: d.sidecar.Target,
 		Gate:   d.gate,
 		Transport: forwarder.NewTransportWith(forwarder.TransportOptions{
-			MaxConnections: targetConnections,
-			Dial:           targetDialTimeout,
-			Idle:           targetIdleTimeout,
+			MaxConnections:  targetConnections,
+			Dial:            targetDialTimeout,
+			Idle:            targetIdleTimeout,
+			MaxResponseHead: maxTargetHead,
 		}),
 		Codec:         d.platform.Codec,
 		Clock:         d.clock,
