receiver: report connections that end without a response

A connection that ends with a request that has no complete response, with a request read in part, or with bytes discarded now calls Server.OnUnanswered once, with the reason, the pending requests, the discarded bytes, and the time since the last read and since Drain. The daemon counts it (connection.unanswered, connection.left) and logs one line with the ids. A connection that ends with nothing pending leaves no line. The shutdown logs the connections that are open, busy and idle when it closes them and at its end, and reports those that the end of the process leaves unanswered.

ClientGone takes its look at the socket from the new forwarder.Peek.

--- a/internal/forwarder/clientgone.go
+++ b/internal/forwarder/clientgone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"syscall"
 
@@ -26,19 +27,41 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := conn.SyscallConn()
+	_, err := Peek(conn, make([]byte, 1))
+	return err != nil
+}
+
+// Peek copies data that has arrived on a connection to p without waiting and without
+// taking it from the connection. It returns 0 if there is none, and an error if the
+// peer has closed the connection. It ignores the connection's deadline.
+func Peek(conn net.Conn, p []byte) (int, error) {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := c.SyscallConn()
 	if err != nil {
-		return true
+		return 0, err
+	}
+	var n int
+	var peekErr error
+	if err := raw.Control(func(fd uintptr) {
+		n, _, peekErr = unix.Recvfrom(int(fd), p, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	}); err != nil {
+		return 0, err
+	}
+	switch {
+	case peekErr == unix.EAGAIN, peekErr == unix.EINTR:
+		return 0, nil
+	case peekErr != nil:
+		return 0, peekErr
+	case n == 0:
+		return 0, io.EOF
+	default:
+		return n, nil
 	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		var buf [1]byte
-		n, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = (n == 0 && err == nil) || err == unix.ECONNRESET
-	})
-	return closed || err != nil
 }
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -53,14 +53,18 @@
 	cancel    context.CancelFunc
 
 	mu sync.Mutex
-	// pendingResponses counts the responses that have not been written.
+	// pending holds the requests whose responses have not been written.
 	// awaitingRequest is true while the reader waits for the first byte of a
 	// request.
-	pendingResponses int
-	awaitingRequest  bool
+	pending         []*exchange
+	awaitingRequest bool
 	// closing is true when no response will follow the current one, or when the
 	// connection was aborted.
 	closing bool
+	// ending is what is known about the end of the connection. reported means that
+	// OnUnanswered was called, or will not be.
+	ending   Ending
+	reported bool
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
@@ -93,31 +97,35 @@
 	}
 	<-writerDone
 	c.cancel()
+	discarded := int64(c.reader.Buffered())
 	if !clientGone {
-		c.linger()
+		discarded += c.linger()
 	}
+	c.discard(discarded)
+	c.report()
 }
 
 // linger reads and discards data until the client closes the connection, for at
-// most lingerTimeout. Without it, the close could reset the connection before the
-// client has the last response.
-func (c *connection) linger() {
+// most lingerTimeout, and returns the number of bytes. Without it, the close could
+// reset the connection before the client has the last response.
+func (c *connection) linger() int64 {
 	if halfCloser, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite()
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.conn)
+	n, _ := io.Copy(io.Discard, c.conn)
+	return n
 }
 
-// pending returns the number of pending responses, including that of a request
-// that is being read.
-func (c *connection) pending() int {
+// pendingResponses returns the number of pending responses, including that of a
+// request that is being read.
+func (c *connection) pendingResponses() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.awaitingRequest {
-		return c.pendingResponses + 1
+		return len(c.pending) + 1
 	}
-	return c.pendingResponses
+	return len(c.pending)
 }
 
 // readRequests reads requests until the connection ends or is to be closed.
@@ -128,12 +136,16 @@
 			return c.isClientGone(err)
 		}
 		if c.server.stopped.Load() {
+			c.end(reasonStopped, nil)
 			return false
 		}
+		c.setReading(true)
 		r, status, err := c.readRequest()
 		if status == 0 && err != nil {
+			c.end(reasonClientGone, err)
 			return true
 		}
+		c.setReading(false)
 		x := &exchange{
 			request:  r,
 			response: make(chan *Response, 1),
@@ -159,8 +171,18 @@
 // the connection is closing.
 func (c *connection) isClientGone(err error) (clientGone bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.closing && !errors.Is(err, os.ErrDeadlineExceeded)
+	closing := c.closing
+	c.mu.Unlock()
+	switch {
+	case closing:
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.end(reasonIdle, nil)
+		return false
+	default:
+		c.end(reasonClientGone, err)
+		return true
+	}
 }
 
 // awaitClose waits until the last response has been written, the client has closed
@@ -181,7 +203,7 @@
 		c.mu.Unlock()
 		return false
 	}
-	c.pendingResponses++
+	c.pending = append(c.pending, x)
 	c.mu.Unlock()
 	c.exchanges <- x
 	return true
@@ -211,7 +233,7 @@
 func (c *connection) setIdleDeadline() {
 	switch {
 	case c.closing:
-	case c.awaitingRequest && c.pendingResponses == 0:
+	case c.awaitingRequest && len(c.pending) == 0:
 		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
 	default:
 		_ = c.conn.SetReadDeadline(time.Time{})
@@ -270,7 +292,7 @@
 	}
 	defer c.server.bufferedBytes.Add(-reservedBytes)
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && c.pending() == 1 {
+	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && c.pendingResponses() == 1 {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, 0, err
 		}
@@ -315,8 +337,12 @@
 	for x := range c.exchanges {
 		resp := <-x.response
 		final := c.beginResponse(x)
-		if resp.Abort || c.ctx.Err() != nil || c.writeResponse(x, resp, final) != nil {
-			c.abort()
+		if resp.Abort || c.ctx.Err() != nil {
+			c.abort(reasonAborted, nil)
+			break
+		}
+		if err := c.writeResponse(x, resp, final); err != nil {
+			c.abort(reasonWriteFailed, err)
 			break
 		}
 		c.endResponse()
@@ -334,7 +360,8 @@
 }
 
 // abort closes the connection and cancels the requests in flight on it.
-func (c *connection) abort() {
+func (c *connection) abort(reason string, err error) {
+	c.end(reason, err)
 	c.mu.Lock()
 	c.closing = true
 	c.mu.Unlock()
@@ -348,7 +375,7 @@
 func (c *connection) beginResponse(x *exchange) (final bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	final = x.last || (c.server.draining.Load() && c.pendingResponses == 1 && c.awaitingRequest)
+	final = x.last || (c.server.draining() && len(c.pending) == 1 && c.awaitingRequest)
 	c.closing = c.closing || final
 	return final
 }
@@ -357,7 +384,7 @@
 func (c *connection) endResponse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pendingResponses--
+	c.pending = c.pending[1:]
 	c.setIdleDeadline()
 }
 
--- a/internal/receiver/limit.go
+++ b/internal/receiver/limit.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,6 +32,9 @@
 type limitedReader struct {
 	io.Reader
 	remaining int
+	// lastRead is the Unix time of the last read that returned data, in
+	// nanoseconds.
+	lastRead atomic.Int64
 }
 
 // Read reads up to the remaining number of bytes.
@@ -40,6 +44,9 @@
 	}
 	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if n > 0 {
+		l.lastRead.Store(time.Now().UnixNano())
+	}
 	return n, err
 }
 
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -7,13 +7,17 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
 // Class is the class of the errors of this package.
@@ -55,8 +59,13 @@
 	// OnRejected is called for each request that could not be read, with the status
 	// of the response.
 	OnRejected func(status int, err error)
+	// OnUnanswered is called for each connection that ended without a response to a
+	// request.
+	OnUnanswered func(e Ending)
 
-	draining, stopped atomic.Bool
+	// drainStart is the time of the first call of Drain, or nil before it.
+	drainStart atomic.Pointer[time.Time]
+	stopped    atomic.Bool
 
 	mu          sync.Mutex
 	listeners   map[net.Listener]bool
@@ -96,19 +105,42 @@
 
 // Drain starts a graceful shutdown: the server closes a connection after a response
 // if no other response is pending on it.
-func (s *Server) Drain() { s.draining.Store(true) }
+func (s *Server) Drain() {
+	now := time.Now()
+	s.drainStart.CompareAndSwap(nil, &now)
+}
+
+func (s *Server) draining() bool { return s.drainStart.Load() != nil }
 
 // BusyConnections returns the number of connections with a pending response.
 func (s *Server) BusyConnections() int {
+	_, busy := s.Connections()
+	return busy
+}
+
+// Connections returns the number of open connections, and of those among them with a
+// pending response.
+func (s *Server) Connections() (open, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	busy := 0
 	for c := range s.connections {
-		if c.pending() > 0 {
+		if c.pendingResponses() > 0 {
 			busy++
 		}
 	}
-	return busy
+	return len(s.connections), busy
+}
+
+// ReportOpen calls OnUnanswered for the connections whose requests the end of the
+// process leaves without a response.
+func (s *Server) ReportOpen() {
+	s.mu.Lock()
+	open := slices.Collect(maps.Keys(s.connections))
+	s.mu.Unlock()
+	for _, c := range open {
+		c.end(reasonExit, nil)
+		c.report()
+	}
 }
 
 // Stop closes the listeners and the idle connections. Requests that are in flight
@@ -121,12 +153,18 @@
 		_ = ln.Close()
 	}
 	for c := range s.connections {
-		if c.pending() == 0 {
+		if c.pendingResponses() == 0 {
+			c.end(reasonStopped, nil)
+			n, _ := forwarder.Peek(c.conn, make([]byte, readBufferSize))
+			c.discard(int64(n))
 			_ = c.conn.Close()
 		}
 	}
 }
 
+// Stopped reports whether Stop was called.
+func (s *Server) Stopped() bool { return s.stopped.Load() }
+
 func (s *Server) addListener(ln net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -24,6 +24,7 @@
 		Handle:           handle,
 		Limits:           func() receiver.Limits { return limits },
 		OnRejected:       func(int, error) {},
+		OnUnanswered:     func(receiver.Ending) {},
 		MaxBufferedBytes: 1 << 20,
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
+	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 )
 
 // setLevel sets the minimum level of log messages. An invalid level means info.
@@ -55,6 +56,24 @@
 	d.log.Warn("request not read", "status", status, "err", err)
 }
 
+// observeUnanswered counts and logs a connection that ended without a response. A
+// client that leaves is usual; every other reason is a fault or a stop.
+func (d *Daemon) observeUnanswered(e receiver.Ending) {
+	d.incrementCounter("connection.unanswered")
+	level := log.WarnLevel
+	if e.ClientGone() {
+		d.incrementCounter("connection.left")
+		level = log.InfoLevel
+	}
+	var ids []string
+	for _, r := range e.Requests {
+		client, _ := d.platform.Client(r.Header)
+		ids = append(ids, client.ID)
+	}
+	d.log.Log(level, "connection ended without a response", "reason", e.Reason, "requests", ids, "pending", e.Pending, "reading", e.Reading,
+		"discarded", e.Discarded, "sinceread", e.SinceRead, "sincestop", e.SinceDrain, "err", e.Err)
+}
+
 // observeAttempt counts and logs the result of an attempt at the local target.
 func (d *Daemon) observeAttempt(a *carrier.Attempt, r deliverer.Result) {
 	d.time("order", r.Duration)
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -43,15 +43,25 @@
 		case idleSince.IsZero():
 			idleSince = now
 		case now.Sub(idleSince) > idleTime:
-			d.receiver.Stop()
+			d.stopReceiver()
 			return
 		}
 		if now.After(stopTime) {
-			d.receiver.Stop()
+			d.stopReceiver()
 		}
 		time.Sleep(shutdownPollInterval)
 	}
 	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running())
+	d.receiver.ReportOpen()
+}
+
+// stopReceiver stops the server of client connections, and logs the connections that
+// were open when it was stopped first.
+func (d *Daemon) stopReceiver() {
+	if open, busy := d.receiver.Connections(); !d.receiver.Stopped() {
+		d.log.Info("closing client connections", "connections", open, "busy", busy, "idle", open-busy)
+	}
+	d.receiver.Stop()
 }
 
 // longestTimeout returns the longest timeout of the plan's rules.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -302,6 +302,7 @@
 		Handle:           dispatch.Handle,
 		Limits:           d.limits,
 		OnRejected:       d.observeUnreadRequest,
+		OnUnanswered:     d.observeUnanswered,
 		MaxBufferedBytes: int64(bodyMemoryShare * float64(d.sidecar.MemoryMiB<<20)),
 	}
 }
@@ -385,7 +386,8 @@
 	case <-ctx.Done():
 	}
 	d.shutdown()
-	d.log.Info("daemon stopped")
+	open, busy := d.receiver.Connections()
+	d.log.Info("daemon stopped", "connections", open, "busy", busy, "running", d.gate.Running())
 	return nil
 }
 
