carrier: bound the memory of targets' responses

What callers saw: nothing until the daemon was killed. A target that sends bodies without end made its daemon hold 64 MiB for each slot, and twice that while a buffer grew, with a memory limit of 184 or 256 MiB for the process.

Cause: the bound was per response and did not know the process's limit. A response that states a greater length was read up to the bound all the same.

Change: the bodies of a target's responses share an eighth of the memory limit, charged as bytes arrive and until the response has been passed on. A body that does not fit, or states a length that cannot fit, fails the attempt with the verdict ran, as before, and the connection is closed.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -51,6 +51,15 @@
 	Header http.Header
 	Body   []byte
 	Load   chooser.Load
+	// Done releases the memory of the body. It may be nil.
+	Done func()
+}
+
+// Release releases the memory of the body when the response is no longer needed.
+func (r *TargetResponse) Release() {
+	if r.Done != nil {
+		r.Done()
+	}
 }
 
 // Failure is the error of an attempt that got no complete response from the target.
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -78,6 +78,7 @@
 		respondFailure(w, NewFailure(err))
 		return
 	}
+	defer targetResponse.Release()
 	for name, values := range targetResponse.Header {
 		h[name] = values
 	}
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -34,8 +33,10 @@
 	Target    string
 	Gate      *admitter.Gate
 	Transport http.RoundTripper
-	Codec     Codec
-	Clock     timekeeper.Clock
+	// Memory bounds the bodies of the target's responses.
+	Memory *carrier.Memory
+	Codec  Codec
+	Clock  timekeeper.Clock
 	// BeforeForward is called before an attempt is forwarded and may reject it with an
 	// error. Otherwise done is called when the attempt has ended. connectionFailed
 	// reports whether the connection to the target broke or was refused.
@@ -72,9 +73,6 @@
 	return r.Err != nil && !r.Aborted && !r.TimedOut && classifier.VerdictOf(r.Err) == classifier.NotRun
 }
 
-// maxResponseBytes is the largest accepted size of a response body.
-const maxResponseBytes = 64 << 20
-
 // Deliver forwards an attempt when the gate has admitted it. Its error is a
 // *carrier.Failure.
 func (d *Deliverer) Deliver(ctx context.Context, a *carrier.Attempt) (*carrier.TargetResponse, error) {
@@ -221,16 +219,18 @@
 	if err := d.Codec.CheckResponse(resp, a); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	size := resp.ContentLength
+	if resp.Body == http.NoBody {
+		size = 0
+	}
+	body, release, err := d.Memory.ReadAll(resp.Body, size)
 	if err != nil {
-		return nil, &carrier.Failure{
-			Failure: classifier.NewFailure(classifier.Ran, "answer of the target broke off", err),
-			Arrived: true,
+		reason := "answer of the target broke off"
+		if IsTooLong(err) {
+			reason = "answer of the target too long"
 		}
-	}
-	if len(body) > maxResponseBytes {
 		return nil, &carrier.Failure{
-			Failure: classifier.NewFailure(classifier.Ran, "answer of the target too long", nil),
+			Failure: classifier.NewFailure(classifier.Ran, reason, err),
 			Arrived: true,
 		}
 	}
@@ -238,5 +238,6 @@
 		Status: resp.StatusCode,
 		Header: forwarder.ForwardedHeader(resp.Header),
 		Body:   body,
+		Done:   release,
 	}, nil
 }
--- a/internal/deliverer/endless_test.go
+++ b/internal/deliverer/endless_test.go
@@ -51,15 +51,20 @@
 	"header":          {start: text("HTTP/1.1 200 OK\r\nX: "), block: strings.Repeat("x", 1024), verdict: classifier.MayHaveRun},
 	"headers":         {start: text("HTTP/1.1 200 OK\r\n"), block: strings.Repeat("X: x\r\n", 200), verdict: classifier.MayHaveRun},
 	"interim":         {start: text(""), block: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 40), verdict: classifier.MayHaveRun},
+	"body":            {start: okHead("Connection: close\r\n"), block: strings.Repeat("x", 1024), verdict: classifier.Ran},
+	"long body":       {start: okHead("Content-Length: 1000000000000\r\n"), block: strings.Repeat("x", 1024), verdict: classifier.Ran},
+	"chunks":          {start: okHead("Transfer-Encoding: chunked\r\n"), block: "400\r\n" + strings.Repeat("x", 1024) + "\r\n", verdict: classifier.Ran},
 	"chunk extension": {start: okHead("Transfer-Encoding: chunked\r\n"), block: strings.Repeat("1;x", 400), verdict: classifier.Ran},
 	"chunk overhead":  {start: okHead("Transfer-Encoding: chunked\r\n"), block: "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n", verdict: classifier.Ran},
 	"trailer":         {start: lastChunk("X: "), block: strings.Repeat("x", 1024), verdict: classifier.Ran},
 	"trailers":        {start: lastChunk(""), block: strings.Repeat("X: x\r\n", 200), verdict: classifier.Ran},
 }
 
-// maxHeadBytes is the most that a target may send before its response's head is
-// taken to be endless.
-const maxHeadBytes = 64 << 10
+// Bounds of a response's head and body.
+const (
+	maxHeadBytes = 64 << 10
+	maxBodyBytes = 256 << 10
+)
 
 // TestEndlessResponse checks that an attempt ends soon although its response does
 // not, and that the connection is closed.
@@ -82,6 +87,7 @@
 				closed <- time.Now()
 				return false
 			})
+			r.Memory = &carrier.Memory{Limit: maxBodyBytes}
 			resp, err := r.deliver("id-1")
 			ended := time.Now()
 			if f := carrier.NewFailure(err); err == nil || f.Verdict != test.verdict || !f.Reported || !f.Arrived {
@@ -112,9 +118,8 @@
 // at the deadline.
 func TestTrickle(t *testing.T) {
 	responses := map[string]endlessResponse{
-		"body with a length":    {start: okHead("Content-Length: 1000000\r\n"), block: "x"},
-		"body without a length": {start: okHead("Connection: close\r\n"), block: "x"},
-		"chunks":                {start: okHead("Transfer-Encoding: chunked\r\n"), block: "1\r\nx\r\n"},
+		"body of a stated length": {start: okHead("Content-Length: 1000000\r\n"), block: "x"},
+		"one-byte chunks":         {start: okHead("Transfer-Encoding: chunked\r\n"), block: "1\r\nx\r\n"},
 	}
 	for name, test := range endlessResponses {
 		responses[name] = endlessResponse{start: test.start, block: test.block[:min(8, len(test.block))]}
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -41,6 +41,15 @@
 	reportedErr error
 	// failedResponse is a target's response with a 5xx status.
 	failedResponse *carrier.TargetResponse
+	// responses holds the responses whose memory has not been released.
+	responses []*carrier.TargetResponse
+}
+
+// release releases the memory of all responses.
+func (c *call) release() {
+	for _, r := range c.responses {
+		r.Release()
+	}
 }
 
 // rejectedByDaemon reports whether a target's daemon rejected a request before
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -112,6 +112,7 @@
 		excluded: map[string]bool{},
 		busy:     map[string]bool{},
 	}
+	defer c.release()
 	targetResponse, err := d.forward(ctx, c)
 	if err != nil && c.failedResponse != nil {
 		targetResponse, err = c.failedResponse, nil
@@ -297,6 +298,7 @@
 		return nil, err
 	}
 	c.deliveries++
+	c.responses = append(c.responses, targetResponse)
 	d.Chooser.RecordLoad(t.Instance, c.rule.Name, targetResponse.Load)
 	return targetResponse, nil
 }
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,8 +31,20 @@
 	WrongAttemptID bool
 	// OmitLength sends the response without a Content-Length header.
 	OmitLength bool
+	// Endless sends a response whose head or body doesn't end before the daemon
+	// closes the connection.
+	Endless Endless
 }
 
+// Endless is the part of a response that does not end.
+type Endless string
+
+// Parts of a response.
+const (
+	EndlessHead Endless = "head"
+	EndlessBody Endless = "body"
+)
+
 // Arrival is a request that reached a Backend.
 type Arrival struct {
 	ID     string
@@ -249,6 +262,10 @@
 		h.Set("X-Attempt-Id", "another")
 	}
 	h.Set("X-Server-Stamp", "stamp-"+b.instance)
+	if f.Endless != "" {
+		b.sendEndless(w, r, f.Endless)
+		return
+	}
 	if f.OmitLength {
 		h.Set("Connection", "close")
 		h.Set("Transfer-Encoding", "identity")
@@ -259,6 +276,20 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", b.instance, r.RequestURI, body)
 }
 
+// sendEndless sends a response until the daemon closes the connection.
+func (b *Backend) sendEndless(w http.ResponseWriter, r *http.Request, part Endless) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + r.Header.Get("X-Attempt-Id") + "\r\nX-Server-Stamp: stamp\r\nX-Filler: "
+	if part == EndlessBody {
+		head += "none\r\nConnection: close\r\n\r\n"
+	}
+	_, _ = io.Copy(conn, io.MultiReader(strings.NewReader(head), fillReader{}))
+}
+
 // recordArrival records a request. It returns the current faults, whether the
 // request runs, and whether it fails then.
 func (b *Backend) recordArrival(r *http.Request, body string) (f BackendFaults, runs, fails bool) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -210,6 +210,9 @@
 	// bodyMemoryShare is the share of the memory limit that buffered client bodies
 	// may use.
 	bodyMemoryShare = 0.25
+	// responseMemoryShare is the share that the bodies of the target's responses may
+	// use.
+	responseMemoryShare = 0.125
 )
 
 // New returns a daemon that has not been started.
@@ -320,6 +323,7 @@
 			Idle:            targetIdleTimeout,
 			MaxResponseHead: maxTargetHead,
 		}),
+		Memory:        d.newMemory(responseMemoryShare),
 		Codec:         d.platform.Codec,
 		Clock:         d.clock,
 		BeforeForward: d.checkQuarantine,
@@ -334,6 +338,11 @@
 	return deliver
 }
 
+// newMemory returns a share of the process's memory limit.
+func (d *Daemon) newMemory(share float64) *carrier.Memory {
+	return &carrier.Memory{Limit: int64(share * float64(d.sidecar.MemoryMiB<<20))}
+}
+
 // defaultLimits apply while no plan is known.
 var defaultLimits = receiver.Limits{
 	HeaderBytes:   16 << 10,
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -700,6 +702,72 @@
 	}
 }
 
+// peakHeap returns a function that returns the largest size of the heap since the
+// call of peakHeap.
+func peakHeap(t *testing.T) (peak func() uint64) {
+	t.Helper()
+	var most atomic.Uint64
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for {
+			var stats runtime.MemStats
+			runtime.ReadMemStats(&stats)
+			most.Store(max(most.Load(), stats.HeapAlloc))
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	return most.Load
+}
+
+// TestEndlessResponses sends requests to a target whose responses do not end. They
+// must fail soon, within the daemon's memory, and leave no slot occupied.
+func TestEndlessResponses(t *testing.T) {
+	m := newMesh(t)
+	a := m.addNode("zilina", "renewal", "v1")
+	b := m.addNode("martin", "documents", "v1")
+	m.writePlan(1, rule{Prefix: "/u/", Kind: "unsafe", Service: "renewal"})
+	m.waitForMembers()
+	memory := int64(a.settings.Sidecar.MemoryMiB) << 20
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(memory * 6 / 10))
+	for _, part := range []emulator.Endless{emulator.EndlessHead, emulator.EndlessBody} {
+		for _, entry := range []*node{a, b} {
+			m.waitFor("the target responds", func() bool { return entry.sendRequest("POST", "/u/", "id", "pay").status == 200 })
+			a.backend.SetFaults(emulator.BackendFaults{Endless: part})
+			peak := peakHeap(t)
+			var group sync.WaitGroup
+			for i := range 2 * a.backend.Slots {
+				group.Go(func() {
+					start := time.Now()
+					got := entry.sendRequest("POST", "/u/", fmt.Sprint(part, i), "pay")
+					if (got.status != 502 && got.status != 503 && got.status != 504) || got.stamp != "" || got.body != "" {
+						t.Errorf("endless %s: got status %d with %d bytes, error %v, want a failure without a body", part, got.status, len(got.body), got.err)
+					}
+					if took := time.Since(start); took > 2500*time.Millisecond {
+						t.Errorf("endless %s: response after %v, want it within the client's 2s", part, took)
+					}
+				})
+			}
+			group.Wait()
+			t.Logf("endless %s: heap of %d MiB", part, peak()>>20)
+			if peak() > uint64(memory) {
+				t.Errorf("endless %s: heap of %d MiB, want at most the %d MiB of memory", part, peak()>>20, memory>>20)
+			}
+			a.backend.SetFaults(emulator.BackendFaults{})
+		}
+	}
+	m.waitFor("the target responds", func() bool { return a.sendRequest("POST", "/u/", "id", "pay").status == 200 })
+	for _, want := range []string{"head of the answer too long", "answer of the target too long"} {
+		if !strings.Contains(m.logs.String(), want) {
+			t.Errorf("the log does not contain %q", want)
+		}
+	}
+}
+
 // TestCrashingRequestIsQuarantined repeats a request that crashes each target that
 // runs it. It must be refused after it has crashed two.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
