carrier: bound responses from other daemons

What callers saw: a daemon waited until the request's deadline for a response without end from another daemon, and kept all of its body in memory.

Cause: the client read bodies without a bound, and each informational response reset the transport's bound of the head.

Change: responses from other daemons share a quarter of the memory limit, in the same way as the target's; one that does not fit fails as may-have-run and does not mark the other daemon as unreachable. An attempt ends after more than 8 informational responses; a daemon sends at most two.

--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -31,8 +30,14 @@
 	giveUpFraction = 0.4
 	// expectBytes is the size from which a body is sent only after 100 Continue.
 	expectBytes = 8 << 10
+	// maxInterim bounds the informational responses to an attempt. A daemon sends at
+	// most 102 Processing and 100 Continue.
+	maxInterim = 8
 )
 
+// errInterim ends an attempt with more informational responses than maxInterim.
+var errInterim = errors.New("too many informational responses")
+
 // errSilent is the cancellation cause of an attempt to which the daemon has not
 // responded.
 var errSilent = errors.New("daemon silent")
@@ -42,6 +47,8 @@
 	// Key is the secret that all daemons share.
 	Key       string
 	Transport http.RoundTripper
+	// Memory bounds the bodies of responses.
+	Memory *Memory
 	// OnSilent is called with the address of a daemon that has not responded to an
 	// attempt within silenceTimeout.
 	OnSilent func(address string)
@@ -73,9 +80,13 @@
 		}
 	})
 	defer giveUpTimer.Stop()
+	interim := 0
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		Got1xxResponse: func(int, textproto.MIMEHeader) error {
 			responded.Store(true)
+			if interim++; interim > maxInterim {
+				return errInterim
+			}
 			return nil
 		},
 	})
@@ -85,11 +96,25 @@
 	}
 	responded.Store(true)
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
+	data, release, err := c.Memory.ReadBody(resp)
+	switch {
+	case forwarder.IsTooLong(err):
+		return nil, &Failure{
+			Failure:  classifier.NewFailure(classifier.MayHaveRun, "answer too long between daemons", err),
+			Arrived:  true,
+			Reported: true,
+			Load:     readLoad(resp.Header),
+		}
+	case err != nil:
 		return nil, c.sendFailure(ctx, classifier.NewFailure(classifier.MayHaveRun, "answer broke off between daemons", err), false)
 	}
-	return readTargetResponse(resp, data, time.Since(began))
+	targetResponse, err := readTargetResponse(resp, data, time.Since(began))
+	if err != nil {
+		release()
+		return nil, err
+	}
+	targetResponse.Done = release
+	return targetResponse, nil
 }
 
 // expectsContinue reports whether an attempt sends its body only after 100
--- a/internal/carrier/memory.go
+++ b/internal/carrier/memory.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -66,6 +67,15 @@
 	}
 }
 
+// ReadBody reads the body of a response like ReadAll.
+func (m *Memory) ReadBody(resp *http.Response) (body []byte, release func(), err error) {
+	size := resp.ContentLength
+	if resp.Body == http.NoBody {
+		size = 0
+	}
+	return m.ReadAll(resp.Body, size)
+}
+
 // nextCapacity returns the capacity of the buffer that follows one of the given
 // capacity. A body of known size gets one byte more, so that its end is read without
 // a further buffer.
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -189,13 +189,7 @@
 // broke or was refused, for example because the target has exited.
 func isConnectionError(err error) bool {
 	var f *classifier.Failure
-	return errors.As(err, &f) && f.Err != nil && !IsTooLong(err)
-}
-
-// IsTooLong reports whether err means that the target's response exceeds a bound.
-func IsTooLong(err error) bool {
-	var tooLong *forwarder.TooLongError
-	return errors.As(err, &tooLong)
+	return errors.As(err, &f) && f.Err != nil && !forwarder.IsTooLong(err)
 }
 
 // newRequest returns the request to the target.
@@ -219,14 +213,10 @@
 	if err := d.Codec.CheckResponse(resp, a); err != nil {
 		return nil, err
 	}
-	size := resp.ContentLength
-	if resp.Body == http.NoBody {
-		size = 0
-	}
-	body, release, err := d.Memory.ReadAll(resp.Body, size)
+	body, release, err := d.Memory.ReadBody(resp)
 	if err != nil {
 		reason := "answer of the target broke off"
-		if IsTooLong(err) {
+		if forwarder.IsTooLong(err) {
 			reason = "answer of the target too long"
 		}
 		return nil, &carrier.Failure{
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -225,6 +226,12 @@
 // Error implements error.
 func (e *TooLongError) Error() string { return strconv.FormatInt(e.Read, 10) + " bytes read" }
 
+// IsTooLong reports whether err means that a response exceeds a bound.
+func IsTooLong(err error) bool {
+	var tooLong *TooLongError
+	return errors.As(err, &tooLong)
+}
+
 // roundTripFramed sends a request once. It fails if the response has no framing
 // by which its end can be detected.
 func roundTripFramed(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 )
 
@@ -59,7 +60,7 @@
 func (d *Daemon) observeAttempt(a *carrier.Attempt, r deliverer.Result) {
 	d.time("order", r.Duration)
 	d.judgeAttempt(a, r)
-	if deliverer.IsTooLong(r.Err) {
+	if forwarder.IsTooLong(r.Err) {
 		d.incrementCounter("order.overlong")
 	}
 	if r.TargetFailed() {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -211,8 +211,9 @@
 	// may use.
 	bodyMemoryShare = 0.25
 	// responseMemoryShare is the share that the bodies of the target's responses may
-	// use.
-	responseMemoryShare = 0.125
+	// use, and peerResponseMemoryShare that of responses from other daemons.
+	responseMemoryShare     = 0.125
+	peerResponseMemoryShare = 0.25
 )
 
 // New returns a daemon that has not been started.
@@ -287,6 +288,7 @@
 			Dial:           peerDialTimeout,
 			Idle:           peerIdleTimeout,
 		}),
+		Memory:      d.newMemory(peerResponseMemoryShare),
 		OnSilent:    d.markUnreachable,
 		KeepWaiting: d.stopping.Load,
 	}
