--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 )
@@ -78,7 +79,7 @@
 func (d *Daemon) observeAttempt(a *carrier.Attempt, r deliverer.Result) {
 	d.time("order", r.Duration)
 	d.judgeAttempt(a, r)
-	if deliverer.IsTooLong(r.Err) {
+	if forwarder.IsTooLong(r.Err) {
 		d.incrementCounter("order.overlong")
 	}
 	if r.TargetFailed() {
