receiver: close while draining whenever no further request is read

The client went on to use the connection, and its next request met the stop.

The close was announced only while the reader waited for a request. A response that was written before the reader had come back from the last request found it not waiting. The decision no longer depends on when the reader returns: "reading" is set from the first byte of a request until the request is queued, and is cleared under the lock that queues it, unless the next request is in the buffer already.

The same state repairs a second effect: the end of a response cleared the deadline of a header that was being read behind it, so that such a header had no time limit. endResponse now sets a deadline only on an idle connection.

--- /dev/null
+++ b/internal/receiver/close_test.go
@@ -0,0 +1,102 @@
+package receiver_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+)
+
+// hookedConn calls functions around each read, if they are set.
+type hookedConn struct {
+	*net.TCPConn
+	beforeRead func(conn *net.TCPConn)
+	afterRead  func(n int)
+}
+
+func (h *hookedConn) Read(p []byte) (int, error) {
+	if h.beforeRead != nil {
+		h.beforeRead(h.TCPConn)
+	}
+	n, err := h.TCPConn.Read(p)
+	if h.afterRead != nil {
+		h.afterRead(n)
+	}
+	return n, err
+}
+
+// TestDrainClosesWithResponseWrittenEarly guards against a connection left open by a
+// response that is written before the reader waits for the next request.
+func TestDrainClosesWithResponseWrittenEarly(t *testing.T) {
+	var read atomic.Bool
+	returned, release := make(chan struct{}), make(chan struct{})
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
+		<-returned
+		return okResponse("answered")
+	})
+	s.Limits = func() receiver.Limits {
+		if read.CompareAndSwap(true, false) {
+			close(returned)
+			<-release
+		}
+		return generousLimits
+	}
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		total := 0
+		return &hookedConn{
+			TCPConn: conn,
+			afterRead: func(n int) {
+				if total += n; total == len(getRequest("/")) {
+					total = 0
+					read.Store(true)
+				}
+			},
+		}
+	})
+	s.Drain()
+	conn, r := dial(t, address)
+	send(t, conn, "G")
+	time.Sleep(50 * time.Millisecond)
+	send(t, conn, strings.TrimPrefix(getRequest("/"), "G"))
+	defer close(release)
+	if resp, body := readResponse(t, r); body != "answered" || !resp.Close {
+		t.Errorf("response %q, closed %v, want \"answered\" and true", body, resp.Close)
+	}
+}
+
+// TestHeaderTimeoutBehindResponse guards against a header without a time limit while
+// an earlier response is written.
+func TestHeaderTimeoutBehindResponse(t *testing.T) {
+	limits := generousLimits
+	limits.HeaderTimeout = 500 * time.Millisecond
+	entered, release := make(chan struct{}), make(chan struct{})
+	var received atomic.Int64
+	s := newServer(limits, func(context.Context, *receiver.Request) *receiver.Response {
+		close(entered)
+		<-release
+		return okResponse("answered")
+	})
+	conn, r := dial(t, serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn:   conn,
+			afterRead: func(n int) { received.Add(int64(n)) },
+		}
+	}))
+	send(t, conn, getRequest("/1"))
+	<-entered
+	send(t, conn, "GET /2 HTTP/1.1\r\n")
+	for received.Load() < int64(len(getRequest("/1")+"GET /2 HTTP/1.1\r\n")) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(limits.HeaderTimeout / 10)
+	close(release)
+	readResponse(t, r)
+	if resp, _ := readResponse(t, r); resp.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("status %d of a request whose header does not end, want 408", resp.StatusCode)
+	}
+}
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -53,11 +53,10 @@
 	cancel    context.CancelFunc
 
 	mu sync.Mutex
-	// pending holds the requests whose responses have not been written.
-	// awaitingRequest is true while the reader waits for the first byte of a
-	// request.
-	pending         []*exchange
-	awaitingRequest bool
+	// pending holds the requests whose responses have not been written. reading is
+	// true while a request is being read or is in the buffer.
+	pending []*exchange
+	reading bool
 	// closing is true when no response will follow the current one, or when the
 	// connection was aborted.
 	closing bool
@@ -117,15 +116,12 @@
 	return n
 }
 
-// pendingResponses returns the number of pending responses, including that of a
-// request that is being read.
-func (c *connection) pendingResponses() int {
+// busy reports whether a response is pending, a request is being read, or the
+// client may not have the last response yet.
+func (c *connection) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.awaitingRequest {
-		return len(c.pending) + 1
-	}
-	return len(c.pending)
+	return len(c.pending) > 0 || c.reading || c.closing
 }
 
 // readRequests reads requests until the connection ends or is to be closed.
@@ -139,13 +135,11 @@
 			c.end(reasonStopped, nil)
 			return false
 		}
-		c.setReading(true)
 		r, status, err := c.readRequest()
 		if status == 0 && err != nil {
 			c.end(reasonClientGone, err)
 			return true
 		}
-		c.setReading(false)
 		x := &exchange{
 			request:  r,
 			response: make(chan *Response, 1),
@@ -196,6 +190,15 @@
 	return c.isClientGone(err)
 }
 
+// beginRequest records that a request is being read. It returns false if the
+// connection is closing.
+func (c *connection) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = !c.closing
+	return c.reading
+}
+
 // enqueue queues an exchange. It returns false if the connection is closing.
 func (c *connection) enqueue(x *exchange) bool {
 	c.mu.Lock()
@@ -204,39 +207,34 @@
 		return false
 	}
 	c.pending = append(c.pending, x)
+	c.reading = !x.last && c.reader.Buffered() > 0
 	c.mu.Unlock()
 	c.exchanges <- x
 	return true
 }
 
+// errClosing means that no request is read because the connection is closing.
+var errClosing = Class.New("connection closing")
+
 // awaitRequest waits for the first byte of the next request.
 func (c *connection) awaitRequest() error {
 	c.limit.remaining = c.server.Limits().HeaderBytes + readBufferSize
-	if c.reader.Buffered() > 0 {
-		return nil
+	c.setIdleDeadline()
+	if _, err := c.reader.Peek(1); err != nil {
+		return err
 	}
-	c.setAwaitingRequest(true)
-	defer c.setAwaitingRequest(false)
-	_, err := c.reader.Peek(1)
-	return err
+	if !c.beginRequest() {
+		return errClosing
+	}
+	return nil
 }
 
-func (c *connection) setAwaitingRequest(awaitingRequest bool) {
+// setIdleDeadline bounds the wait for a request if no response is pending.
+func (c *connection) setIdleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awaitingRequest = awaitingRequest
-	c.setIdleDeadline()
-}
-
-// setIdleDeadline bounds the wait for a request if no response is pending. The
-// caller holds the lock.
-func (c *connection) setIdleDeadline() {
-	switch {
-	case c.closing:
-	case c.awaitingRequest && len(c.pending) == 0:
+	if len(c.pending) == 0 && !c.reading && !c.closing {
 		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
-	default:
-		_ = c.conn.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -292,7 +290,7 @@
 	}
 	defer c.server.bufferedBytes.Add(-reservedBytes)
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && c.pendingResponses() == 1 {
+	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && !c.responsePending() {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, 0, err
 		}
@@ -315,6 +313,13 @@
 	return buffer.Bytes(), 0, nil
 }
 
+// responsePending reports whether the response to an earlier request is pending.
+func (c *connection) responsePending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) > 0
+}
+
 // isMalformed reports whether a body violates the protocol, other than by ending
 // early.
 func isMalformed(err error) bool {
@@ -375,7 +380,7 @@
 func (c *connection) beginResponse(x *exchange) (final bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	final = x.last || (c.server.draining() && len(c.pending) == 1 && c.awaitingRequest)
+	final = x.last || (c.server.draining() && len(c.pending) == 1 && !c.reading)
 	c.closing = c.closing || final
 	return final
 }
@@ -383,8 +388,8 @@
 // endResponse records that a response has been written.
 func (c *connection) endResponse() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.pending = c.pending[1:]
+	c.mu.Unlock()
 	c.setIdleDeadline()
 }
 
--- a/internal/receiver/ending.go
+++ b/internal/receiver/ending.go
@@ -44,13 +44,6 @@
 	}
 }
 
-// setReading records whether a request has been read in part.
-func (c *connection) setReading(reading bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ending.Reading = reading
-}
-
 // discard counts bytes that were not taken for a request.
 func (c *connection) discard(n int64) {
 	c.mu.Lock()
@@ -64,7 +57,7 @@
 	c.mu.Lock()
 	e, reported := c.ending, c.reported
 	c.reported = true
-	e.Pending = len(c.pending)
+	e.Pending, e.Reading = len(c.pending), c.reading
 	for _, x := range c.pending {
 		if x.request != nil {
 			e.Requests = append(e.Requests, x.request)
--- a/internal/receiver/ending_test.go
+++ b/internal/receiver/ending_test.go
@@ -105,7 +105,7 @@
 			if test.limits.IdleTimeout == 0 {
 				test.limits = generousLimits
 			}
-			s, address := startServer(t, test.limits, func(ctx context.Context, _ *receiver.Request) *receiver.Response {
+			s := newServer(test.limits, func(ctx context.Context, _ *receiver.Request) *receiver.Response {
 				entered <- struct{}{}
 				select {
 				case <-release:
@@ -115,7 +115,7 @@
 			})
 			endings := make(chan receiver.Ending, 2)
 			s.OnUnanswered = func(e receiver.Ending) { endings <- e }
-			conn, reader := dial(t, address)
+			conn, reader := dial(t, serve(t, s, nil))
 			waitForConnections(t, s, 1)
 			test.act(t, client{
 				conn:    conn.(*net.TCPConn),
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -112,19 +112,20 @@
 
 func (s *Server) draining() bool { return s.drainStart.Load() != nil }
 
-// BusyConnections returns the number of connections with a pending response.
+// BusyConnections returns the number of connections on which a request or a
+// response is under way.
 func (s *Server) BusyConnections() int {
 	_, busy := s.Connections()
 	return busy
 }
 
-// Connections returns the number of open connections, and of those among them with a
-// pending response.
+// Connections returns the number of open connections, and of the busy ones among
+// them.
 func (s *Server) Connections() (open, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
-		if c.pendingResponses() > 0 {
+		if c.busy() {
 			busy++
 		}
 	}
@@ -153,7 +154,7 @@
 		_ = ln.Close()
 	}
 	for c := range s.connections {
-		if c.pendingResponses() == 0 {
+		if !c.busy() {
 			c.end(reasonStopped, nil)
 			n, _ := forwarder.Peek(c.conn, make([]byte, readBufferSize))
 			c.discard(int64(n))
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -20,21 +20,51 @@
 // startServer serves a handler and returns the server and its address.
 func startServer(t *testing.T, limits receiver.Limits, handle func(context.Context, *receiver.Request) *receiver.Response) (*receiver.Server, string) {
 	t.Helper()
-	s := &receiver.Server{
+	s := newServer(limits, handle)
+	return s, serve(t, s, nil)
+}
+
+func newServer(limits receiver.Limits, handle func(context.Context, *receiver.Request) *receiver.Response) *receiver.Server {
+	return &receiver.Server{
 		Handle:           handle,
 		Limits:           func() receiver.Limits { return limits },
 		OnRejected:       func(int, error) {},
 		OnUnanswered:     func(receiver.Ending) {},
 		MaxBufferedBytes: 1 << 20,
 	}
+}
+
+// serve starts a server and returns its address. wrap replaces each accepted
+// connection, if it is not nil.
+func serve(t *testing.T, s *receiver.Server, wrap func(*net.TCPConn) net.Conn) string {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	go func() { _ = s.Serve(ctx, ln) }()
-	return s, ln.Addr().String()
+	go func() {
+		_ = s.Serve(ctx, &wrappingListener{
+			Listener: ln,
+			wrap:     wrap,
+		})
+	}()
+	return ln.Addr().String()
+}
+
+// wrappingListener replaces the connections that it accepts.
+type wrappingListener struct {
+	net.Listener
+	wrap func(*net.TCPConn) net.Conn
+}
+
+func (l *wrappingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil || l.wrap == nil {
+		return conn, err
+	}
+	return l.wrap(conn.(*net.TCPConn)), nil
 }
 
 var generousLimits = receiver.Limits{
