receiver: serve a request that arrived before the idle timeout

A client that used its connection shortly before the idle timeout saw it end without a response, when the daemon got no processor time between the arrival of the request and the timeout.

Read on an expired deadline fails without a look at the socket. The reader took that for an idle connection, and linger then read the request and discarded it.

After the deadline, the reader now looks for data that has arrived, without waiting, before it closes the connection.

Before, TestIdleTimeoutServesRequestInSocket fails 5 of 5 runs: unexpected EOF After, it passes 10 of 10 with -race.

--- a/internal/receiver/close_test.go
+++ b/internal/receiver/close_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 )
 
@@ -30,6 +31,19 @@
 	return n, err
 }
 
+// awaitData waits until data has arrived on a connection.
+func awaitData(t *testing.T, conn net.Conn) {
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		if n, _ := forwarder.Peek(conn, make([]byte, 1)); n > 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Error("no data has arrived")
+			return
+		}
+	}
+}
+
 // TestDrainClosesWithResponseWrittenEarly guards against a connection left open by a
 // response that is written before the reader waits for the next request.
 func TestDrainClosesWithResponseWrittenEarly(t *testing.T) {
@@ -100,3 +114,30 @@
 		t.Errorf("status %d of a request whose header does not end, want 408", resp.StatusCode)
 	}
 }
+
+// TestIdleTimeoutServesRequestInSocket guards against discarding a request that
+// arrived before the idle timeout but was not read by then.
+func TestIdleTimeoutServesRequestInSocket(t *testing.T) {
+	limits := generousLimits
+	limits.IdleTimeout = 20 * time.Millisecond
+	s := newServer(limits, func(context.Context, *receiver.Request) *receiver.Response {
+		return okResponse("answered")
+	})
+	var once atomic.Bool
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn: conn,
+			beforeRead: func(conn *net.TCPConn) {
+				if once.CompareAndSwap(false, true) {
+					awaitData(t, conn)
+					time.Sleep(5 * limits.IdleTimeout)
+				}
+			},
+		}
+	})
+	conn, r := dial(t, address)
+	send(t, conn, getRequest("/"))
+	if resp, body := readResponse(t, r); resp.StatusCode != http.StatusOK || body != "answered" {
+		t.Errorf("status %d, response %q, want 200 and \"answered\"", resp.StatusCode, body)
+	}
+}
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -220,7 +220,12 @@
 func (c *connection) awaitRequest() error {
 	c.limit.remaining = c.server.Limits().HeaderBytes + readBufferSize
 	c.setIdleDeadline()
-	if _, err := c.reader.Peek(1); err != nil {
+	_, err := c.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasArrived() {
+		_ = c.conn.SetReadDeadline(time.Time{})
+		_, err = c.reader.Peek(1)
+	}
+	if err != nil {
 		return err
 	}
 	if !c.beginRequest() {
@@ -229,6 +234,13 @@
 	return nil
 }
 
+// hasArrived reports whether data has arrived that was not read. After a deadline,
+// Read does not look for it.
+func (c *connection) hasArrived() bool {
+	n, _ := forwarder.Peek(c.conn, make([]byte, 1))
+	return n > 0
+}
+
 // setIdleDeadline bounds the wait for a request if no response is pending.
 func (c *connection) setIdleDeadline() {
 	c.mu.Lock()
