soaker: count requests that the exit of a stopped daemon cuts

A request that a daemon had passed on and then cut by its exit after SIGTERM was not reported: the exit counted as downtime from 100 ms before it was detected, and downtime excuses every request that overlaps it. A request that had reached a target, which rejected it, counted as not passed on.

The exit after a graceful shutdown now excuses only requests that were sent after it, and a request counts as passed on when it has arrived at a target. The 200 ms that a stopping daemon may take count from the last byte, for requests that are sent slowly; those of the soak are sent at once.

--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -19,8 +19,10 @@
 	// Caller is the service of the daemon that the request was sent to.
 	Caller string
 	Sent   time.Time
-	Ended  time.Time
-	Reply  emulator.Reply
+	// BodySent is when the last byte was sent, zero if that was at Sent.
+	BodySent time.Time
+	Ended    time.Time
+	Reply    emulator.Reply
 	// Err is set if the client got no response. Excused means that the request
 	// was allowed to fail; see process.excusesFailure.
 	Err     error
@@ -56,7 +58,7 @@
 const (
 	// maxRuns is the maximum number of runs of an idempotent request.
 	maxRuns = 2
-	// shutdownLossSlack is the time after the start of a request within which a
+	// shutdownLossSlack is the time after the last byte of a request within which a
 	// stopping daemon may abort it, if the daemon has not forwarded it.
 	shutdownLossSlack = 200 * time.Millisecond
 	// responseSlack is how long after the request's deadline a response may arrive.
@@ -200,9 +202,13 @@
 		addViolation("attempts: ran %d times, at most %d", runs, maxRuns)
 	}
 	if r.Err != nil {
-		notForwarded := r.DaemonStopping && runs == 0 && r.Ended.Sub(r.Sent) <= shutdownLossSlack
+		sent := r.Sent
+		if !r.BodySent.IsZero() {
+			sent = r.BodySent
+		}
+		notForwarded := r.DaemonStopping && len(instances) == 0 && r.Ended.Sub(sent) <= shutdownLossSlack
 		if !r.Excused && !notForwarded {
-			addViolation("lost: no answer from a daemon that was there: %v", r.Err)
+			addViolation("lost: no answer from a daemon that was there, %v after the request was sent, arrived at %d targets: %v", r.Ended.Sub(sent), len(instances), r.Err)
 		}
 		return violations
 	}
--- a/internal/soaker/ledger_test.go
+++ b/internal/soaker/ledger_test.go
@@ -109,6 +109,35 @@
 			starts: []soaker.Start{targetStart(runArrival("a", 0))},
 			want:   "lost",
 		},
+		"reached a target without a run when the daemon stopped": {
+			requests: []soaker.Request{func() soaker.Request {
+				r := answeredRequest("a")
+				r.Err, r.DaemonStopping = errReset, true
+				return r
+			}()},
+			starts: []soaker.Start{targetStart(func() emulator.Arrival {
+				a := runArrival("a", 0)
+				a.Ran = false
+				return a
+			}())},
+			want: "lost",
+		},
+		"not forwarded for longer than the slack when the daemon stopped": {
+			requests: []soaker.Request{func() soaker.Request {
+				r := answeredRequest("a")
+				r.Err, r.DaemonStopping, r.Ended = errReset, true, noon.Add(250*time.Millisecond)
+				return r
+			}()},
+			want: "lost",
+		},
+		"last byte sent within the slack before the daemon closed": {
+			requests: []soaker.Request{func() soaker.Request {
+				r := answeredRequest("a")
+				r.Err, r.DaemonStopping, r.Ended = errReset, true, noon.Add(250*time.Millisecond)
+				r.BodySent = noon.Add(100 * time.Millisecond)
+				return r
+			}()},
+		},
 		"response after the deadline": {
 			requests: []soaker.Request{func() soaker.Request {
 				r := answeredRequest("a")
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -12,6 +13,8 @@
 // span is a period of time. A zero end means that it has not ended.
 type span struct {
 	from, to time.Time
+	// planned means that the daemon was down after a graceful shutdown.
+	planned bool
 }
 
 // process runs a daemon and restarts it. It is safe for concurrent use.
@@ -39,8 +42,9 @@
 	// unavailable lists when the daemon was down or paused.
 	unavailable []span
 	// downSince is when the daemon last stopped listening. It is zero while the
-	// daemon listens.
-	downSince time.Time
+	// daemon listens. plannedDown means that it was stopped gracefully.
+	downSince   time.Time
+	plannedDown bool
 }
 
 // Times of a process.
@@ -50,9 +54,10 @@
 	// resumeSlack is the time for which a resumed process counts as paused,
 	// because it has pending work to process first.
 	resumeSlack = 300 * time.Millisecond
-	// A process counts as down from exitSlack before its exit is detected, because
-	// it stops listening earlier. After a request without a response, a client
-	// waits for exitSlack, because the exit may be detected later.
+	// A process that was not stopped gracefully counts as down from exitSlack
+	// before its exit is detected, because it stops listening earlier. After a
+	// request without a response, a client waits for exitSlack, because the exit
+	// may be detected later.
 	exitSlack = 100 * time.Millisecond
 	// stopSlack is how long beyond the grace period a shutdown may take.
 	stopSlack    = 2 * time.Second
@@ -97,7 +102,11 @@
 		p.ledger.AddViolation("exit: %s failed during its graceful shutdown: %v", p.name, err)
 	}
 	if p.downSince.IsZero() {
-		p.downSince = time.Now().Add(-exitSlack)
+		p.downSince = time.Now()
+		p.plannedDown = p.stopped && !p.killed
+		if !p.plannedDown {
+			p.downSince = p.downSince.Add(-exitSlack)
+		}
 	}
 	p.cmd = nil
 	close(exited)
@@ -117,8 +126,8 @@
 			p.mu.Unlock()
 			return
 		case err == nil:
-			p.unavailable = append(p.unavailable, span{from: p.downSince, to: time.Now()})
-			p.downSince = time.Time{}
+			p.unavailable = append(p.unavailable, span{from: p.downSince, to: time.Now(), planned: p.plannedDown})
+			p.downSince, p.plannedDown = time.Time{}, false
 			p.mu.Unlock()
 			return
 		}
@@ -213,8 +222,9 @@
 }
 
 // excusesFailure reports whether a request during the given period may fail:
-// the daemon was down or paused for a part of it, or it refused the connection
-// while it was shutting down.
+// the daemon was killed or paused for a part of it, was down from its start, or
+// refused the connection while it was shutting down. The exit at the end of a
+// graceful shutdown does not excuse a request that was sent before it.
 func (p *process) excusesFailure(from, to time.Time, refused bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -229,16 +239,21 @@
 	return p.stopped
 }
 
-// wasUnavailable reports whether the daemon was down or paused for a part of
-// the given period. The caller holds the lock.
+// wasUnavailable reports whether the daemon was killed or paused for a part of
+// the given period, or down after a graceful shutdown at its start. The caller
+// holds the lock.
 func (p *process) wasUnavailable(from, to time.Time) bool {
-	if !p.downSince.IsZero() && !p.downSince.After(to) {
+	if !p.downSince.IsZero() && (span{from: p.downSince, planned: p.plannedDown}).affects(from, to) {
 		return true
 	}
-	for _, s := range p.unavailable {
-		if !s.from.After(to) && (s.to.IsZero() || s.to.After(from)) {
-			return true
-		}
+	return slices.ContainsFunc(p.unavailable, func(s span) bool { return s.affects(from, to) })
+}
+
+// affects reports whether a request during the given period may fail because of
+// the span.
+func (s span) affects(from, to time.Time) bool {
+	if s.planned {
+		to = from
 	}
-	return false
+	return !s.from.After(to) && (s.to.IsZero() || s.to.After(from))
 }
