carrier: stop reading an attempt's body at its deadline

What callers saw: a daemon whose peer stalled or trickled while it sent an attempt's body read on for as long as the connection lasted. Where the body was asked for with 100 Continue, that held one of the target's slots.

Cause: the attempt's deadline ended its context, which a read of the connection does not follow.

Evidence, before the change (deadline after 0.3 s):

--- FAIL: TestTricklingBody (30.50s) --- FAIL: TestTricklingBody/sent_in_chunks (10.00s) --- FAIL: TestTricklingBody/asked_for (10.00s) --- FAIL: TestTricklingBody/sent_at_once (10.50s) endless_test.go:107: the connection was not closed

Change: the connection's read deadline is the attempt's deadline while its body is read.

--- a/internal/carrier/endless_test.go
+++ b/internal/carrier/endless_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -67,3 +70,45 @@
 		})
 	}
 }
+
+// TestTricklingBody checks that the server stops reading an attempt's body at the
+// attempt's deadline, so that a body that never arrives does not hold a slot.
+func TestTricklingBody(t *testing.T) {
+	for name, header := range map[string]string{
+		"sent at once":   "Content-Length: 1000000\r\n",
+		"sent in chunks": "Transfer-Encoding: chunked\r\n",
+		"asked for":      "Content-Length: 1000000\r\nExpect: 100-continue\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startServer(t, func(ctx context.Context, a *carrier.Attempt) (*carrier.TargetResponse, error) {
+				if err := carrier.ReadBody(ctx); err != nil {
+					return nil, classifier.NewFailure(classifier.NotRun, "body broke off", err)
+				}
+				t.Errorf("body of %d bytes, want an error", len(a.Body))
+				return &carrier.TargetResponse{Status: 200}, nil
+			})
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nColtsfoot-Key: "+key+"\r\nColtsfoot-Left: 300000\r\n"+header+"\r\n")
+			go func() {
+				for {
+					if _, err := io.WriteString(conn, "1\r\nx\r\n"); err != nil {
+						return
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			}()
+			start := time.Now()
+			_ = conn.SetReadDeadline(start.Add(10 * time.Second))
+			if _, err := io.ReadAll(conn); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatal("the connection was not closed")
+			}
+			if elapsed := time.Since(start); elapsed > 5*time.Second {
+				t.Errorf("the connection was closed after %v, want the deadline of 300ms", elapsed)
+			}
+		})
+	}
+}
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -50,9 +50,16 @@
 	acknowledged := false
 	b := &body{
 		readAll: func() error {
+			connection := http.NewResponseController(w)
+			if err := connection.SetReadDeadline(a.Deadline); err != nil {
+				return err
+			}
 			data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody()))
+			if err != nil {
+				return err
+			}
 			a.Body = data
-			return err
+			return connection.SetReadDeadline(time.Time{})
 		},
 	}
 	ctx := context.WithValue(r.Context(), acknowledgeKey{}, func() {
