sidecar: bound the time to read a report

What callers saw: a report whose body trickles without end held a connection and a goroutine of the daemon for as long as its sender went on. Reports of others were still accepted.

Cause: the server of reports bounded the time of the head only; the size of the body is bounded by the decoder.

Evidence, before the change:

--- FAIL: TestEndlessReport (0.02s) --- FAIL: TestEndlessReport/report,_trickled_chunks (15.07s) --- FAIL: TestEndlessReport/report,_trickled_body (15.08s) endless_test.go:53: the connection was not closed within 15s

What already held, and is tested now: heads without end, quick or trickled, bodies that arrive quickly, and bodies at the readiness check, at the metrics and of a leave report.

Change: reports, readiness checks and calls for metrics must be read within 5 s.

Result: all cases of TestEndlessReport pass with -race, each connection closed within 5.6 s.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -205,6 +205,9 @@
 	maxTargetHead = 64 << 10
 	// controlTimeout bounds a remote call between daemons.
 	controlTimeout = time.Second
+	// callReadTimeout bounds the time to read a report of the target or a call of the
+	// platform.
+	callReadTimeout = 5 * time.Second
 	// maxMemberCalls bounds the membership calls in progress.
 	maxMemberCalls = 64
 	// bodyMemoryShare is the share of the memory limit that buffered client bodies
@@ -372,11 +375,11 @@
 	defer stop()
 	listeners := map[string]func(context.Context, net.Listener) error{
 		d.settings.Listen.Traffic:  d.receiver.Serve,
-		d.settings.Listen.Admit:    serveHTTP(d.attemptServer),
+		d.settings.Listen.Admit:    serveHTTP(d.attemptServer, 0),
 		d.settings.Listen.Control:  d.control.Serve,
-		d.settings.Listen.Operator: serveHTTP(http.HandlerFunc(d.serveReport)),
-		d.sidecar.Ready:            serveHTTP(http.HandlerFunc(d.serveReady)),
-		d.sidecar.Metrics:          serveHTTP(http.HandlerFunc(d.serveMetrics)),
+		d.settings.Listen.Operator: serveHTTP(http.HandlerFunc(d.serveReport), callReadTimeout),
+		d.sidecar.Ready:            serveHTTP(http.HandlerFunc(d.serveReady), callReadTimeout),
+		d.sidecar.Metrics:          serveHTTP(http.HandlerFunc(d.serveMetrics), callReadTimeout),
 	}
 	failed := make(chan error, len(listeners))
 	for address, serve := range listeners {
@@ -406,12 +409,13 @@
 }
 
 // serveHTTP returns a function that serves HTTP with a handler until its context
-// ends.
-func serveHTTP(h http.Handler) func(context.Context, net.Listener) error {
+// ends. A request must be read within readTimeout, if that is not 0.
+func serveHTTP(h http.Handler, readTimeout time.Duration) func(context.Context, net.Listener) error {
 	return func(ctx context.Context, ln net.Listener) error {
 		srv := &http.Server{
 			Handler:           h,
 			ReadHeaderTimeout: 5 * time.Second,
+			ReadTimeout:       readTimeout,
 			IdleTimeout:       time.Minute,
 			ConnContext:       forwarder.WithConn,
 		}
