receiver: answer requests that have arrived when the server stops

A client whose request met the end of a graceful shutdown saw its connection reset or closed without a response.

Stop closed every connection without a pending response, also one with a request unread in its socket. A request whose first byte the reader had taken was dropped between the wait and the reading, as was one that came in behind a request in flight.

Stop no longer closes connections. It ends the wait of the idle ones, whose readers look once more for data that has arrived. A request that the reader begins to read after Stop is read and rejected with 503, Retry-After and Connection: close; it never runs. A connection with nothing arrived is closed in the usual order. The shutdown now waits for the connections to end, within the grace period. A rejected request is logged with its id (request rejected, request.stopped).

--- a/internal/receiver/close_test.go
+++ b/internal/receiver/close_test.go
@@ -44,6 +44,14 @@
 	}
 }
 
+// checkRejection checks a response to a request that arrived around a stop.
+func checkRejection(t *testing.T, resp *http.Response) {
+	t.Helper()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("status %d, Retry-After %q, closed %v, want 503 with Retry-After and a close", resp.StatusCode, resp.Header.Get("Retry-After"), resp.Close)
+	}
+}
+
 // TestDrainClosesWithResponseWrittenEarly guards against a connection left open by a
 // response that is written before the reader waits for the next request.
 func TestDrainClosesWithResponseWrittenEarly(t *testing.T) {
@@ -141,3 +149,85 @@
 		t.Errorf("status %d, response %q, want 200 and \"answered\"", resp.StatusCode, body)
 	}
 }
+
+// TestStopAnswersRequestThatTheReaderHasTaken guards against dropping a request whose
+// first bytes have been read when Stop is called.
+func TestStopAnswersRequestThatTheReaderHasTaken(t *testing.T) {
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
+		return okResponse("")
+	})
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn: conn,
+			afterRead: func(n int) {
+				if n > 0 {
+					s.Stop()
+				}
+			},
+		}
+	})
+	conn, r := dial(t, address)
+	send(t, conn, getRequest("/"))
+	resp, _ := readResponse(t, r)
+	checkRejection(t, resp)
+}
+
+// TestStopAnswersRequestInSocket guards against closing a connection on which a
+// request has arrived that has not been read.
+func TestStopAnswersRequestInSocket(t *testing.T) {
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
+		return okResponse("")
+	})
+	stopped := make(chan struct{})
+	var once atomic.Bool
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn: conn,
+			beforeRead: func(conn *net.TCPConn) {
+				if once.CompareAndSwap(false, true) {
+					awaitData(t, conn)
+					s.Stop()
+					close(stopped)
+				}
+			},
+		}
+	})
+	conn, r := dial(t, address)
+	send(t, conn, getRequest("/"))
+	<-stopped
+	resp, _ := readResponse(t, r)
+	checkRejection(t, resp)
+}
+
+// TestStopAnswersPipelinedRequest guards against dropping a request that arrives after
+// Stop while another is in flight on its connection.
+func TestStopAnswersPipelinedRequest(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
+		close(entered)
+		<-release
+		return okResponse("answered")
+	})
+	var received atomic.Int64
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn:   conn,
+			afterRead: func(n int) { received.Add(int64(n)) },
+		}
+	})
+	conn, r := dial(t, address)
+	send(t, conn, getRequest("/1"))
+	<-entered
+	s.Stop()
+	send(t, conn, getRequest("/2"))
+	for received.Load() < int64(2*len(getRequest("/1"))) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	if resp, body := readResponse(t, r); body != "answered" || resp.Close {
+		t.Errorf("request in flight: response %q, closed %v, want \"answered\" and false", body, resp.Close)
+	}
+	resp, _ := readResponse(t, r)
+	checkRejection(t, resp)
+}
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -131,15 +131,15 @@
 		if err := c.awaitRequest(); err != nil {
 			return c.isClientGone(err)
 		}
-		if c.server.stopped.Load() {
-			c.end(reasonStopped, nil)
-			return false
-		}
+		stopped := c.server.stopped.Load()
 		r, status, err := c.readRequest()
 		if status == 0 && err != nil {
 			c.end(reasonClientGone, err)
 			return true
 		}
+		if stopped && err == nil {
+			status, err = http.StatusServiceUnavailable, errStopped
+		}
 		x := &exchange{
 			request:  r,
 			response: make(chan *Response, 1),
@@ -149,7 +149,7 @@
 			return false
 		}
 		if err != nil {
-			c.server.OnRejected(status, err)
+			c.server.OnRejected(r, status, err)
 			x.response <- errorResponse(status)
 			return false
 		}
@@ -171,7 +171,11 @@
 	case closing:
 		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.end(reasonIdle, nil)
+		reason := reasonIdle
+		if c.server.stopped.Load() {
+			reason = reasonStopped
+		}
+		c.end(reason, nil)
 		return false
 	default:
 		c.end(reasonClientGone, err)
@@ -241,15 +245,23 @@
 	return n > 0
 }
 
-// setIdleDeadline bounds the wait for a request if no response is pending.
+// setIdleDeadline bounds the wait for a request if no response is pending. After
+// Stop, the wait ends at once.
 func (c *connection) setIdleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.pending) == 0 && !c.reading && !c.closing {
-		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
+	if len(c.pending) > 0 || c.reading || c.closing {
+		return
 	}
+	deadline := time.Now()
+	if !c.server.stopped.Load() {
+		deadline = deadline.Add(c.server.Limits().IdleTimeout)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
 }
 
+var errStopped = Class.New("daemon stopped before the request was read")
+
 var errBodyTooLarge = Class.New("body exceeds the size limit")
 
 // readRequest reads a whole request. On error, status is the response status, or
--- a/internal/receiver/limit.go
+++ b/internal/receiver/limit.go
@@ -10,18 +10,18 @@
 	"time"
 )
 
-// errorResponse returns the response to a request that could not be read.
+// errorResponse returns the response to a request that is not handled.
 func errorResponse(status int) *Response {
 	h := http.Header{}
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(noMemoryRetryAfter.Seconds(), 'g', -1, 64))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'g', -1, 64))
 	}
 	return &Response{Status: status, Header: h}
 }
 
-// noMemoryRetryAfter is the Retry-After value of the response when there is no
-// buffer memory for a body. Bodies stay in memory for about this time.
-const noMemoryRetryAfter = 200 * time.Millisecond
+// retryAfter is the Retry-After value of the response when there is no buffer memory
+// for a body or the server has stopped. Bodies stay in memory for about this time.
+const retryAfter = 200 * time.Millisecond
 
 // unlimited is the value of limitedReader.remaining that means no limit.
 const unlimited = int(^uint(0) >> 1)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -16,8 +16,6 @@
 	"time"
 
 	"github.com/zeebo/errs"
-
-	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
 // Class is the class of the errors of this package.
@@ -56,9 +54,9 @@
 	Handle func(ctx context.Context, r *Request) *Response
 	// Limits returns the current limits.
 	Limits func() Limits
-	// OnRejected is called for each request that could not be read, with the status
-	// of the response.
-	OnRejected func(status int, err error)
+	// OnRejected is called for each request that is not handled, with the status of
+	// the response. r is nil if the request could not be read.
+	OnRejected func(r *Request, status int, err error)
 	// OnUnanswered is called for each connection that ended without a response to a
 	// request.
 	OnUnanswered func(e Ending)
@@ -145,8 +143,11 @@
 }
 
 // Stop closes the listeners and the idle connections. Requests that are in flight
-// or being read get their responses. No further requests are read.
+// or being read get their responses. Requests that have arrived without being read, or
+// arrive while a connection is still open, are rejected, and their connections closed.
+// Connections counts those that have not ended.
 func (s *Server) Stop() {
+	s.Drain()
 	s.stopped.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,18 +155,10 @@
 		_ = ln.Close()
 	}
 	for c := range s.connections {
-		if !c.busy() {
-			c.end(reasonStopped, nil)
-			n, _ := forwarder.Peek(c.conn, make([]byte, readBufferSize))
-			c.discard(int64(n))
-			_ = c.conn.Close()
-		}
+		c.setIdleDeadline()
 	}
 }
 
-// Stopped reports whether Stop was called.
-func (s *Server) Stopped() bool { return s.stopped.Load() }
-
 func (s *Server) addListener(ln net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -50,8 +50,15 @@
 		"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "took", r.Duration, "err", r.Err)
 }
 
-// observeUnreadRequest counts and logs a request that could not be read.
-func (d *Daemon) observeUnreadRequest(status int, err error) {
+// observeRejectedRequest counts and logs a request that could not be read, or that was
+// rejected because the daemon stops. r is nil if it could not be read.
+func (d *Daemon) observeRejectedRequest(r *receiver.Request, status int, err error) {
+	if r != nil {
+		d.incrementCounter("request.stopped")
+		client, _ := d.platform.Client(r.Header)
+		d.log.Info("request rejected", "request", client.ID, "status", status, "err", err)
+		return
+	}
 	d.incrementCounter("request.unread")
 	d.log.Warn("request not read", "status", status, "err", err)
 }
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -23,9 +23,10 @@
 )
 
 // shutdown stops the daemon gracefully. It reports not ready, keeps serving while
-// clients move to other daemons, then admits no further attempts at the local target,
-// and returns once no request is in flight or the grace period is nearly over. New
-// client requests are refused once the time left is shorter than the longest timeout.
+// clients move to other daemons, then admits no further attempts at the local target.
+// It closes the connections of clients once no request is in flight, or once the time
+// left is shorter than the longest timeout, and returns when they have ended or the grace
+// period is nearly over.
 func (d *Daemon) shutdown() {
 	startTime := d.clock.Now()
 	deadline := startTime.Add(d.sidecar.GracePeriod.Duration - killMargin)
@@ -36,6 +37,7 @@
 	d.leave()
 	stopTime := deadline.Add(-d.longestTimeout())
 	var idleSince time.Time
+	stopped := false
 	for now := d.clock.Now(); now.Before(deadline); now = d.clock.Now() {
 		switch {
 		case d.receiver.BusyConnections() > 0 || d.gate.Running() > 0:
@@ -43,11 +45,14 @@
 		case idleSince.IsZero():
 			idleSince = now
 		case now.Sub(idleSince) > idleTime:
-			d.stopReceiver()
-			return
+			stopTime = now
 		}
-		if now.After(stopTime) {
+		if !now.Before(stopTime) && !stopped {
 			d.stopReceiver()
+			stopped = true
+		}
+		if open, _ := d.receiver.Connections(); stopped && open == 0 && d.gate.Running() == 0 {
+			return
 		}
 		time.Sleep(shutdownPollInterval)
 	}
@@ -56,11 +61,10 @@
 }
 
 // stopReceiver stops the server of client connections, and logs the connections that
-// were open when it was stopped first.
+// are open.
 func (d *Daemon) stopReceiver() {
-	if open, busy := d.receiver.Connections(); !d.receiver.Stopped() {
-		d.log.Info("closing client connections", "connections", open, "busy", busy, "idle", open-busy)
-	}
+	open, busy := d.receiver.Connections()
+	d.log.Info("closing client connections", "connections", open, "busy", busy, "idle", open-busy)
 	d.receiver.Stop()
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -301,7 +301,7 @@
 	return &receiver.Server{
 		Handle:           dispatch.Handle,
 		Limits:           d.limits,
-		OnRejected:       d.observeUnreadRequest,
+		OnRejected:       d.observeRejectedRequest,
 		OnUnanswered:     d.observeUnanswered,
 		MaxBufferedBytes: int64(bodyMemoryShare * float64(d.sidecar.MemoryMiB<<20)),
 	}
