--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -1,13 +1,10 @@
 package soaker_test
 
 import (
-	"bytes"
 	"embed"
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -36,17 +33,6 @@
 	shortSeeds  = 2
 )
 
-// buildDaemon builds the daemon with the race detector and returns its path.
-func buildDaemon(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "coltsfootd")
-	out, err := exec.Command("go", "build", "-race", "-o", program, "github.com/coltsfootlane/coltsfootlane/cmd/coltsfootd").CombinedOutput()
-	if err != nil {
-		t.Fatalf("%v\n%s", err, bytes.TrimSpace(out))
-	}
-	return program
-}
-
 // runSoak runs one seed. It keeps the settings and logs if the test fails.
 func runSoak(t *testing.T, program string, seed uint64, length time.Duration) {
 	dir, err := os.MkdirTemp("", "soak-")
@@ -81,7 +67,7 @@
 // TestSoak runs the first seeds for a short time. With -full it runs all
 // regression seeds at their whole length instead.
 func TestSoak(t *testing.T) {
-	program := buildDaemon(t)
+	program := soaker.BuildDaemon(t)
 	if !*full {
 		for seed := range uint64(shortSeeds) {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
