--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -53,14 +53,17 @@
 	cancel    context.CancelFunc
 
 	mu sync.Mutex
-	// pendingResponses counts the responses that have not been written.
-	// awaitingRequest is true while the reader waits for the first byte of a
-	// request.
-	pendingResponses int
-	awaitingRequest  bool
+	// pending holds the requests whose responses have not been written. reading is
+	// true while a request is being read or is in the buffer.
+	pending []*exchange
+	reading bool
 	// closing is true when no response will follow the current one, or when the
 	// connection was aborted.
 	closing bool
+	// ending is what is known about the end of the connection. reported means that
+	// OnUnanswered was called, or will not be.
+	ending   Ending
+	reported bool
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
@@ -93,31 +96,32 @@
 	}
 	<-writerDone
 	c.cancel()
+	discarded := int64(c.reader.Buffered())
 	if !clientGone {
-		c.linger()
+		discarded += c.linger()
 	}
+	c.discard(discarded)
+	c.report()
 }
 
 // linger reads and discards data until the client closes the connection, for at
-// most lingerTimeout. Without it, the close could reset the connection before the
-// client has the last response.
-func (c *connection) linger() {
+// most lingerTimeout, and returns the number of bytes. Without it, the close could
+// reset the connection before the client has the last response.
+func (c *connection) linger() int64 {
 	if halfCloser, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite()
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.conn)
+	n, _ := io.Copy(io.Discard, c.conn)
+	return n
 }
 
-// pending returns the number of pending responses, including that of a request
-// that is being read.
-func (c *connection) pending() int {
+// busy reports whether a response is pending, a request is being read, or the
+// client may not have the last response yet.
+func (c *connection) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.awaitingRequest {
-		return c.pendingResponses + 1
-	}
-	return c.pendingResponses
+	return len(c.pending) > 0 || c.reading || c.closing
 }
 
 // readRequests reads requests until the connection ends or is to be closed.
@@ -127,13 +131,15 @@
 		if err := c.awaitRequest(); err != nil {
 			return c.isClientGone(err)
 		}
-		if c.server.stopped.Load() {
-			return false
-		}
+		stopped := c.server.stopped.Load()
 		r, status, err := c.readRequest()
 		if status == 0 && err != nil {
+			c.end(reasonClientGone, err)
 			return true
 		}
+		if stopped && err == nil {
+			status, err = http.StatusServiceUnavailable, errStopped
+		}
 		x := &exchange{
 			request:  r,
 			response: make(chan *Response, 1),
@@ -143,7 +149,7 @@
 			return false
 		}
 		if err != nil {
-			c.server.OnRejected(status, err)
+			c.server.OnRejected(r, status, err)
 			x.response <- errorResponse(status)
 			return false
 		}
@@ -159,8 +165,22 @@
 // the connection is closing.
 func (c *connection) isClientGone(err error) (clientGone bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.closing && !errors.Is(err, os.ErrDeadlineExceeded)
+	closing := c.closing
+	c.mu.Unlock()
+	switch {
+	case closing:
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		reason := reasonIdle
+		if c.server.stopped.Load() {
+			reason = reasonStopped
+		}
+		c.end(reason, nil)
+		return false
+	default:
+		c.end(reasonClientGone, err)
+		return true
+	}
 }
 
 // awaitClose waits until the last response has been written, the client has closed
@@ -174,6 +194,15 @@
 	return c.isClientGone(err)
 }
 
+// beginRequest records that a request is being read. It returns false if the
+// connection is closing.
+func (c *connection) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = !c.closing
+	return c.reading
+}
+
 // enqueue queues an exchange. It returns false if the connection is closing.
 func (c *connection) enqueue(x *exchange) bool {
 	c.mu.Lock()
@@ -181,43 +210,58 @@
 		c.mu.Unlock()
 		return false
 	}
-	c.pendingResponses++
+	c.pending = append(c.pending, x)
+	c.reading = !x.last && c.reader.Buffered() > 0
 	c.mu.Unlock()
 	c.exchanges <- x
 	return true
 }
 
+// errClosing means that no request is read because the connection is closing.
+var errClosing = Class.New("connection closing")
+
 // awaitRequest waits for the first byte of the next request.
 func (c *connection) awaitRequest() error {
 	c.limit.remaining = c.server.Limits().HeaderBytes + readBufferSize
-	if c.reader.Buffered() > 0 {
-		return nil
-	}
-	c.setAwaitingRequest(true)
-	defer c.setAwaitingRequest(false)
+	c.setIdleDeadline()
 	_, err := c.reader.Peek(1)
-	return err
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasArrived() {
+		_ = c.conn.SetReadDeadline(time.Time{})
+		_, err = c.reader.Peek(1)
+	}
+	if err != nil {
+		return err
+	}
+	if !c.beginRequest() {
+		return errClosing
+	}
+	return nil
 }
 
-func (c *connection) setAwaitingRequest(awaitingRequest bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaitingRequest = awaitingRequest
-	c.setIdleDeadline()
+// hasArrived reports whether data has arrived that was not read. After a deadline,
+// Read does not look for it.
+func (c *connection) hasArrived() bool {
+	n, _ := forwarder.Peek(c.conn, make([]byte, 1))
+	return n > 0
 }
 
-// setIdleDeadline bounds the wait for a request if no response is pending. The
-// caller holds the lock.
+// setIdleDeadline bounds the wait for a request if no response is pending. After
+// Stop, the wait ends at once.
 func (c *connection) setIdleDeadline() {
-	switch {
-	case c.closing:
-	case c.awaitingRequest && c.pendingResponses == 0:
-		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.Limits().IdleTimeout))
-	default:
-		_ = c.conn.SetReadDeadline(time.Time{})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) > 0 || c.reading || c.closing {
+		return
+	}
+	deadline := time.Now()
+	if !c.server.stopped.Load() {
+		deadline = deadline.Add(c.server.Limits().IdleTimeout)
 	}
+	_ = c.conn.SetReadDeadline(deadline)
 }
 
+var errStopped = Class.New("daemon stopped before the request was read")
+
 var errBodyTooLarge = Class.New("body exceeds the size limit")
 
 // readRequest reads a whole request. On error, status is the response status, or
@@ -270,7 +314,7 @@
 	}
 	defer c.server.bufferedBytes.Add(-reservedBytes)
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && c.pending() == 1 {
+	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && !c.responsePending() {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, 0, err
 		}
@@ -293,6 +337,13 @@
 	return buffer.Bytes(), 0, nil
 }
 
+// responsePending reports whether the response to an earlier request is pending.
+func (c *connection) responsePending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending) > 0
+}
+
 // isMalformed reports whether a body violates the protocol, other than by ending
 // early.
 func isMalformed(err error) bool {
@@ -315,8 +366,12 @@
 	for x := range c.exchanges {
 		resp := <-x.response
 		final := c.beginResponse(x)
-		if resp.Abort || c.ctx.Err() != nil || c.writeResponse(x, resp, final) != nil {
-			c.abort()
+		if resp.Abort || c.ctx.Err() != nil {
+			c.abort(reasonAborted, nil)
+			break
+		}
+		if err := c.writeResponse(x, resp, final); err != nil {
+			c.abort(reasonWriteFailed, err)
 			break
 		}
 		c.endResponse()
@@ -334,7 +389,8 @@
 }
 
 // abort closes the connection and cancels the requests in flight on it.
-func (c *connection) abort() {
+func (c *connection) abort(reason string, err error) {
+	c.end(reason, err)
 	c.mu.Lock()
 	c.closing = true
 	c.mu.Unlock()
@@ -348,7 +404,7 @@
 func (c *connection) beginResponse(x *exchange) (final bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	final = x.last || (c.server.draining.Load() && c.pendingResponses == 1 && c.awaitingRequest)
+	final = x.last || (c.server.draining() && len(c.pending) == 1 && !c.reading)
 	c.closing = c.closing || final
 	return final
 }
@@ -356,8 +412,8 @@
 // endResponse records that a response has been written.
 func (c *connection) endResponse() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.pendingResponses--
+	c.pending = c.pending[1:]
+	c.mu.Unlock()
 	c.setIdleDeadline()
 }
 
