sidecar: wait at the stop for responses to other daemons

A caller got 502 for a request that a target had served, when the daemon of that target ended its graceful shutdown while another daemon still read the response, for example over a slow link.

The shutdown looked only at the attempts that hold a slot. A slot is free once the target has responded, before the response is on the wire to the other daemon, so the daemon counted as idle and closed the connection.

The shutdown now also waits, within the grace period, for the connections of other daemons on which a request has begun and its response is not written. They are counted from the state changes of the HTTP server. The log lines of the stop name their number (peers).

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	WrongAttemptID bool
 	// OmitLength sends the response without a Content-Length header.
 	OmitLength bool
+	// Padding is the number of bytes that are added to each response.
+	Padding int
 }
 
 // Arrival is a request that reached a Backend.
@@ -256,7 +259,7 @@
 	if fails {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
-	_, _ = fmt.Fprintf(w, "%s %s %s", b.instance, r.RequestURI, body)
+	_, _ = fmt.Fprintf(w, "%s %s %s%s", b.instance, r.RequestURI, body, strings.Repeat(" ", f.Padding))
 }
 
 // recordArrival records a request. It returns the current faults, whether the
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -1,6 +1,11 @@
 package sidecar
 
-import "time"
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
 
 // Timing of a graceful shutdown.
 const (
@@ -40,7 +45,7 @@
 	stopped := false
 	for now := d.clock.Now(); now.Before(deadline); now = d.clock.Now() {
 		switch {
-		case d.receiver.BusyConnections() > 0 || d.gate.Running() > 0:
+		case d.receiver.BusyConnections() > 0 || d.servesAttempts():
 			idleSince = time.Time{}
 		case idleSince.IsZero():
 			idleSince = now
@@ -51,15 +56,21 @@
 			d.stopReceiver()
 			stopped = true
 		}
-		if open, _ := d.receiver.Connections(); stopped && open == 0 && d.gate.Running() == 0 {
+		if open, _ := d.receiver.Connections(); stopped && open == 0 && !d.servesAttempts() {
 			return
 		}
 		time.Sleep(shutdownPollInterval)
 	}
-	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running())
+	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running(), "peers", d.attemptConnections.count())
 	d.receiver.ReportOpen()
 }
 
+// servesAttempts reports whether an attempt runs at the local target, or another daemon
+// does not have its response yet.
+func (d *Daemon) servesAttempts() bool {
+	return d.gate.Running() > 0 || d.attemptConnections.count() > 0
+}
+
 // stopReceiver stops the server of client connections, and logs the connections that
 // are open.
 func (d *Daemon) stopReceiver() {
@@ -76,3 +87,30 @@
 	}
 	return p.LongestTimeout()
 }
+
+// busyConnections counts the connections of an HTTP server on which a request has
+// begun and its response has not been written.
+type busyConnections struct {
+	mu          sync.Mutex
+	connections map[net.Conn]bool
+}
+
+// update is the ConnState function of the server.
+func (b *busyConnections) update(conn net.Conn, state http.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state != http.StateActive {
+		delete(b.connections, conn)
+		return
+	}
+	if b.connections == nil {
+		b.connections = map[net.Conn]bool{}
+	}
+	b.connections[conn] = true
+}
+
+func (b *busyConnections) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.connections)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -182,8 +182,10 @@
 	dependencies sync.Map
 	// memberCallSem limits the membership calls in progress.
 	memberCallSem chan struct{}
-	// attemptServer handles attempts that other daemons forward to the target.
-	attemptServer *carrier.Server
+	// attemptServer handles attempts that other daemons forward to the target, and
+	// attemptConnections counts the connections on which it does.
+	attemptServer      *carrier.Server
+	attemptConnections busyConnections
 }
 
 // Limits of connections, calls and memory.
@@ -358,11 +360,11 @@
 	defer stop()
 	listeners := map[string]func(context.Context, net.Listener) error{
 		d.settings.Listen.Traffic:  d.receiver.Serve,
-		d.settings.Listen.Admit:    serveHTTP(d.attemptServer),
+		d.settings.Listen.Admit:    serveHTTP(d.attemptServer, d.attemptConnections.update),
 		d.settings.Listen.Control:  d.control.Serve,
-		d.settings.Listen.Operator: serveHTTP(http.HandlerFunc(d.serveReport)),
-		d.sidecar.Ready:            serveHTTP(http.HandlerFunc(d.serveReady)),
-		d.sidecar.Metrics:          serveHTTP(http.HandlerFunc(d.serveMetrics)),
+		d.settings.Listen.Operator: serveHTTP(http.HandlerFunc(d.serveReport), nil),
+		d.sidecar.Ready:            serveHTTP(http.HandlerFunc(d.serveReady), nil),
+		d.sidecar.Metrics:          serveHTTP(http.HandlerFunc(d.serveMetrics), nil),
 	}
 	failed := make(chan error, len(listeners))
 	for address, serve := range listeners {
@@ -387,19 +389,20 @@
 	}
 	d.shutdown()
 	open, busy := d.receiver.Connections()
-	d.log.Info("daemon stopped", "connections", open, "busy", busy, "running", d.gate.Running())
+	d.log.Info("daemon stopped", "connections", open, "busy", busy, "running", d.gate.Running(), "peers", d.attemptConnections.count())
 	return nil
 }
 
 // serveHTTP returns a function that serves HTTP with a handler until its context
-// ends.
-func serveHTTP(h http.Handler) func(context.Context, net.Listener) error {
+// ends. connState is called when the state of a connection changes, unless it is nil.
+func serveHTTP(h http.Handler, connState func(net.Conn, http.ConnState)) func(context.Context, net.Listener) error {
 	return func(ctx context.Context, ln net.Listener) error {
 		srv := &http.Server{
 			Handler:           h,
 			ReadHeaderTimeout: 5 * time.Second,
 			IdleTimeout:       time.Minute,
 			ConnContext:       forwarder.WithConn,
+			ConnState:         connState,
 		}
 		context.AfterFunc(ctx, func() { _ = srv.Close() })
 		if err := srv.Serve(ln); err != http.ErrServerClosed {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -18,8 +18,10 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/emulator"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
+	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/sidecar"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/parser"
@@ -683,6 +685,93 @@
 	}
 }
 
+// heldBody is a response body that is not read until release is closed.
+type heldBody struct {
+	io.ReadCloser
+	release chan struct{}
+}
+
+func (b heldBody) Read(p []byte) (int, error) {
+	<-b.release
+	return b.ReadCloser.Read(p)
+}
+
+// heldTransport holds back the bodies of responses. It closes received when the header
+// of one has arrived.
+type heldTransport struct {
+	received, release chan struct{}
+}
+
+func (h heldTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil {
+		resp.Body = heldBody{
+			ReadCloser: resp.Body,
+			release:    h.release,
+		}
+		close(h.received)
+	}
+	return resp, err
+}
+
+// TestShutdownWaitsForResponsesToDaemons guards against a process that exits while
+// another daemon reads a target's response slowly.
+func TestShutdownWaitsForResponsesToDaemons(t *testing.T) {
+	m := newMesh(t)
+	a := m.addNode("zilina", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitFor("the daemon serves requests", func() bool { return a.sendRequest("GET", "/s/", "id", "").status == 200 })
+	transport := heldTransport{
+		received: make(chan struct{}),
+		release:  make(chan struct{}),
+	}
+	client := carrier.Client{
+		Key:       a.settings.Key,
+		Transport: transport,
+		OnSilent:  func(string) {},
+	}
+	const size = 32 << 20
+	a.backend.SetFaults(emulator.BackendFaults{Padding: size})
+	type outcome struct {
+		response *carrier.TargetResponse
+		err      error
+	}
+	sent := make(chan outcome, 1)
+	go func() {
+		resp, err := client.Send(context.Background(), a.settings.Listen.Admit, &carrier.Attempt{
+			ID:       "large",
+			Service:  "renewal",
+			Version:  "v1",
+			Instance: a.backend.Instance(),
+			Rule:     "a.example/s/",
+			Kind:     matcher.Idempotent,
+			Deadline: time.Now().Add(waitTimeout),
+			MaxWait:  waitTimeout,
+			Method:   "GET",
+			URI:      "/s/",
+			Host:     "a.example",
+			Header:   http.Header{"X-Attempt-Id": {"large"}},
+		})
+		sent <- outcome{response: resp, err: err}
+	}()
+	select {
+	case <-transport.received:
+	case got := <-sent:
+		t.Fatalf("error %v, want a response that is held back", got.err)
+	}
+	a.stop()
+	select {
+	case <-a.ended:
+		t.Error("the daemon ended while a response was read")
+	case <-time.After(4 * time.Second):
+	}
+	close(transport.release)
+	if got := <-sent; got.err != nil || len(got.response.Body) < size {
+		t.Errorf("error %v, want a whole response", got.err)
+	}
+	<-a.ended
+}
+
 // TestUnsafeRequestRunsAtMostOnce checks that a non-idempotent request runs at most
 // once when its response is lost, invalid or a failure, or when the target sheds it.
 func TestUnsafeRequestRunsAtMostOnce(t *testing.T) {
