--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -34,6 +34,8 @@
 	// Endless sends a response whose head or body doesn't end before the daemon
 	// closes the connection.
 	Endless Endless
+	// Padding is the number of bytes that are added to each response.
+	Padding int
 }
 
 // Endless is the part of a response that does not end.
@@ -273,7 +275,7 @@
 	if fails {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
-	_, _ = fmt.Fprintf(w, "%s %s %s", b.instance, r.RequestURI, body)
+	_, _ = fmt.Fprintf(w, "%s %s %s%s", b.instance, r.RequestURI, body, strings.Repeat(" ", f.Padding))
 }
 
 // sendEndless sends a response until the daemon closes the connection.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -182,8 +182,10 @@
 	dependencies sync.Map
 	// memberCallSem limits the membership calls in progress.
 	memberCallSem chan struct{}
-	// attemptServer handles attempts that other daemons forward to the target.
-	attemptServer *carrier.Server
+	// attemptServer handles attempts that other daemons forward to the target, and
+	// attemptConnections counts the connections on which it does.
+	attemptServer      *carrier.Server
+	attemptConnections busyConnections
 }
 
 // Limits of connections, calls and memory.
@@ -374,12 +376,15 @@
 	defer group.Wait()
 	defer stop()
 	listeners := map[string]func(context.Context, net.Listener) error{
-		d.settings.Listen.Traffic:  d.receiver.Serve,
-		d.settings.Listen.Admit:    serveHTTP(d.attemptServer, 0),
+		d.settings.Listen.Traffic: d.receiver.Serve,
+		d.settings.Listen.Admit: serveHTTP(&http.Server{
+			Handler:   d.attemptServer,
+			ConnState: d.attemptConnections.update,
+		}),
 		d.settings.Listen.Control:  d.control.Serve,
-		d.settings.Listen.Operator: serveHTTP(http.HandlerFunc(d.serveReport), callReadTimeout),
-		d.sidecar.Ready:            serveHTTP(http.HandlerFunc(d.serveReady), callReadTimeout),
-		d.sidecar.Metrics:          serveHTTP(http.HandlerFunc(d.serveMetrics), callReadTimeout),
+		d.settings.Listen.Operator: serveCalls(d.serveReport),
+		d.sidecar.Ready:            serveCalls(d.serveReady),
+		d.sidecar.Metrics:          serveCalls(d.serveMetrics),
 	}
 	failed := make(chan error, len(listeners))
 	for address, serve := range listeners {
@@ -404,21 +409,25 @@
 	}
 	d.shutdown()
 	open, busy := d.receiver.Connections()
-	d.log.Info("daemon stopped", "connections", open, "busy", busy, "running", d.gate.Running())
+	d.log.Info("daemon stopped", "connections", open, "busy", busy, "running", d.gate.Running(), "peers", d.attemptConnections.count())
 	return nil
 }
 
-// serveHTTP returns a function that serves HTTP with a handler until its context
-// ends. A request must be read within readTimeout, if that is not 0.
-func serveHTTP(h http.Handler, readTimeout time.Duration) func(context.Context, net.Listener) error {
+// serveCalls returns a function that serves the target's or the platform's calls with
+// a handler until its context ends.
+func serveCalls(h http.HandlerFunc) func(context.Context, net.Listener) error {
+	return serveHTTP(&http.Server{
+		Handler:     h,
+		ReadTimeout: callReadTimeout,
+	})
+}
+
+// serveHTTP returns a function that runs an HTTP server until its context ends.
+func serveHTTP(srv *http.Server) func(context.Context, net.Listener) error {
+	srv.ReadHeaderTimeout = 5 * time.Second
+	srv.IdleTimeout = time.Minute
+	srv.ConnContext = forwarder.WithConn
 	return func(ctx context.Context, ln net.Listener) error {
-		srv := &http.Server{
-			Handler:           h,
-			ReadHeaderTimeout: 5 * time.Second,
-			ReadTimeout:       readTimeout,
-			IdleTimeout:       time.Minute,
-			ConnContext:       forwarder.WithConn,
-		}
 		context.AfterFunc(ctx, func() { _ = srv.Close() })
 		if err := srv.Serve(ln); err != http.ErrServerClosed {
 			return err
