receiver: tell a header that breaks off from a malformed one

A client whose header stopped in the middle of a line got 400 in place of 408, and one that closed its connection there was counted as a malformed request (request not read) and not as gone.

http.ReadRequest calls a line that ends with an error of the connection malformed. The reader now goes by the error of its last read, if there was one.

Before, these fail 3 of 3 runs: TestLimits/slow_line: status 400, want 408 TestUnansweredConnectionIsReported/client_gone_within_a_line: no report After, internal/receiver passes 10 of 10 with -race.

--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -271,6 +271,10 @@
 	began := time.Now()
 	_ = c.conn.SetReadDeadline(began.Add(limits.HeaderTimeout))
 	req, err := http.ReadRequest(c.reader)
+	if err != nil && c.limit.err != nil {
+		// ReadRequest calls a line that breaks off malformed.
+		err = c.limit.err
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/receiver/ending_test.go
+++ b/internal/receiver/ending_test.go
@@ -56,6 +56,12 @@
 			},
 			want: receiver.Ending{Reason: "client gone", Reading: true},
 		},
+		"client gone within a line": {
+			act: func(t *testing.T, c client) {
+				send(t, c.conn, "GET / HTTP/1.1\r\nHost: a\r\nX-A")
+			},
+			want: receiver.Ending{Reason: "client gone", Reading: true},
+		},
 		"request behind the last response": {
 			act: func(t *testing.T, c client) {
 				send(t, c.conn, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"+getRequest("/2"))
--- a/internal/receiver/limit.go
+++ b/internal/receiver/limit.go
@@ -32,6 +32,8 @@
 type limitedReader struct {
 	io.Reader
 	remaining int
+	// err is the error of the last read.
+	err error
 	// lastRead is the Unix time of the last read that returned data, in
 	// nanoseconds.
 	lastRead atomic.Int64
@@ -40,10 +42,12 @@
 // Read reads up to the remaining number of bytes.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.remaining <= 0 {
-		return 0, errHeaderTooLarge
+		l.err = errHeaderTooLarge
+		return 0, l.err
 	}
 	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.err = err
 	if n > 0 {
 		l.lastRead.Store(time.Now().UnixNano())
 	}
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -188,6 +188,7 @@
 		"long body":         {request: "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n" + strings.Repeat("x", 101), status: 413},
 		"long chunked body": {request: "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" + strings.Repeat("x", 255) + "\r\n0\r\n\r\n", status: 413},
 		"slow header":       {request: "GET / HTTP/1.1\r\nHost: a\r\n", status: 408},
+		"slow line":         {request: "GET / HTTP/1.1\r\nHost: a\r\nX-A", status: 408},
 		"no host":           {request: "GET / HTTP/1.1\r\n\r\n", status: 400},
 		"not HTTP":          {request: "hello\r\n\r\n", status: 400},
 		"bad chunk size":    {request: "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", status: 400},
