sidecar: test retries of responses that do not end

One of two targets sends heads or bodies without end. Idempotent requests get the other target's response, non-idempotent ones 502 or 504 or the other target's response, and none of these runs twice.

--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/emulator"
 )
 
 // TestEndlessReport sends calls without end to the addresses that targets and the
@@ -66,3 +68,46 @@
 		}
 	})
 }
+
+// TestEndlessResponseIsRetried checks that idempotent requests succeed at another
+// target if the responses of one do not end, and that non-idempotent ones do not run
+// twice.
+func TestEndlessResponseIsRetried(t *testing.T) {
+	m := newMesh(t)
+	a := m.addNode("zilina", "renewal", "v1")
+	b := m.addNode("zilina", "renewal", "v1")
+	entry := m.addNode("martin", "documents", "v1")
+	m.writePlan(1, safeRule, rule{Prefix: "/u/", Kind: "unsafe", Service: "renewal"})
+	m.waitForMembers()
+	m.waitFor("both targets serve requests", func() bool { return entry.servedOnlyBy("/s/", a.backend.Instance(), b.backend.Instance()) })
+	for _, part := range []emulator.Endless{emulator.EndlessHead, emulator.EndlessBody} {
+		a.backend.SetFaults(emulator.BackendFaults{Endless: part})
+		for _, kind := range []string{"s", "u"} {
+			before := len(a.backend.Arrivals())
+			i := 0
+			m.waitFor("a request is sent to the target whose responses do not end", func() bool {
+				i++
+				got := entry.sendRequest("POST", "/"+kind+"/", fmt.Sprint(kind, "-", part, "-", i), "pay")
+				fromOther := got.status == 200 && strings.HasPrefix(got.body, b.backend.Instance()+" ")
+				failed := got.status == 502 || got.status == 504
+				if !fromOther && (kind == "s" || !failed) {
+					t.Errorf("endless %s, /%s/: got %+v, want a response of the other target, or status 502 or 504 if not idempotent", part, kind, got)
+				}
+				return len(a.backend.Arrivals()) > before
+			})
+		}
+	}
+	runs := map[string]int{}
+	for _, n := range []*node{a, b} {
+		for _, arrival := range n.backend.Arrivals() {
+			if arrival.Ran {
+				runs[arrival.ID]++
+			}
+		}
+	}
+	for id, n := range runs {
+		if strings.HasPrefix(id, "u-") && n > 1 {
+			t.Errorf("request %s ran %d times, want at most once", id, n)
+		}
+	}
+}
