soaker: targets that send heads or bodies without end

They occur once in 8 s on average.

The emulated target frees its slot before it sends a response without end, as it does for others, whose bytes are sent after its handler has returned.

TestSoak and TestGenerateEventsKinds pass.

--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -246,7 +246,8 @@
 		w.WriteHeader(status)
 		return
 	}
-	defer b.endRequest()
+	end := sync.OnceFunc(b.endRequest)
+	defer end()
 	if b.crashesOn(string(body)) {
 		b.Crash()
 		panic(http.ErrAbortHandler)
@@ -265,6 +266,7 @@
 	}
 	h.Set("X-Server-Stamp", "stamp-"+b.instance)
 	if f.Endless != "" {
+		end() // as for other responses, the slot is free once the request has run
 		b.sendEndless(w, r, f.Endless)
 		return
 	}
--- a/internal/soaker/events.go
+++ b/internal/soaker/events.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -39,15 +40,18 @@
 	StoreRevokeLeases  Kind = "store revokes all leases"
 	StorePauseLeases   Kind = "store stops expiring leases"
 	StoreCompact       Kind = "store compacts its history"
-	// Crash, Drain, Slow, Fail, LoseResponses and Shed are faults and state changes
-	// of a target. LoseResponses closes connections in place of a response, and Shed
-	// rejects requests with status 503.
+	// Crash, Drain, Slow, Fail, LoseResponses, Shed, EndlessHeads and EndlessBodies
+	// are faults and state changes of a target. LoseResponses closes connections in
+	// place of a response, and Shed rejects requests with status 503. The responses
+	// of the last two do not end.
 	Crash         Kind = "target crashes"
 	Drain         Kind = "target drains"
 	Slow          Kind = "target slow"
 	Fail          Kind = "target fails requests"
 	LoseResponses Kind = "target loses responses"
 	Shed          Kind = "target sheds load"
+	EndlessHeads  Kind = "target sends heads without end"
+	EndlessBodies Kind = "target sends bodies without end"
 	// Declare, Evacuate and Move are changes that an operator makes: a new
 	// configuration, the evacuation of a zone for the event's length, and the
 	// move of the main service to another version.
@@ -131,6 +135,8 @@
 const (
 	// meanEventGap is the mean time between two events.
 	meanEventGap = 400 * time.Millisecond
+	// meanEndlessGap is the mean time between two events of the endless kinds.
+	meanEndlessGap = 8 * time.Second
 	// minEventLength and maxEventLength are the limits of an event's length.
 	minEventLength = 100 * time.Millisecond
 	maxEventLength = 3 * time.Second
@@ -193,6 +199,8 @@
 		}
 		events = append(events, e)
 	}
+	events = append(events, generateEndless(seed, nodes, length)...)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
 
@@ -211,6 +219,25 @@
 	}
 }
 
+// generateEndless returns the events of the endless kinds. They have a random source
+// of their own, so that the other events of a seed do not depend on them.
+func generateEndless(seed uint64, nodes int, length time.Duration) []Event {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var events []Event
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * float64(meanEndlessGap))
+		if at >= length {
+			return events
+		}
+		events = append(events, Event{
+			At:     at,
+			Length: minEventLength + time.Duration(random.Float64()*float64(maxEventLength-minEventLength)),
+			Node:   random.IntN(nodes),
+			Kind:   []Kind{EndlessHeads, EndlessBodies}[random.IntN(2)],
+		})
+	}
+}
+
 // pickKind returns the kind at index n when each kind is repeated by its weight.
 func pickKind(n int) Kind {
 	for _, w := range weights {
--- a/internal/soaker/events_test.go
+++ b/internal/soaker/events_test.go
@@ -58,7 +58,7 @@
 		soaker.Kill, soaker.Pause, soaker.Stop, soaker.Reload,
 		soaker.Delay, soaker.Reset, soaker.StallBoth, soaker.StallRequests, soaker.StallResponses,
 		soaker.StoreUnresponsive, soaker.StoreRefuse, soaker.StoreSlow, soaker.StoreLoseResponses, soaker.StoreRevokeLeases, soaker.StorePauseLeases, soaker.StoreCompact,
-		soaker.Crash, soaker.Drain, soaker.Slow, soaker.Fail, soaker.LoseResponses, soaker.Shed,
+		soaker.Crash, soaker.Drain, soaker.Slow, soaker.Fail, soaker.LoseResponses, soaker.Shed, soaker.EndlessHeads, soaker.EndlessBodies,
 		soaker.Declare, soaker.Evacuate, soaker.Move,
 	} {
 		if seen[k] == 0 {
--- a/internal/soaker/node.go
+++ b/internal/soaker/node.go
@@ -190,6 +190,12 @@
 	}
 	f.LoseAnswer = n.activeFaults[LoseResponses] > 0
 	f.Shed = n.activeFaults[Shed] > 0
+	switch {
+	case n.activeFaults[EndlessHeads] > 0:
+		f.Endless = emulator.EndlessHead
+	case n.activeFaults[EndlessBodies] > 0:
+		f.Endless = emulator.EndlessBody
+	}
 	n.backend.SetFaults(f)
 }
 
--- a/internal/soaker/run.go
+++ b/internal/soaker/run.go
@@ -64,7 +64,7 @@
 		n.replaceTarget(e.Length, version, badVersion)
 	case Drain:
 		n.drainTarget(e.Length)
-	case Slow, Fail, LoseResponses, Shed:
+	case Slow, Fail, LoseResponses, Shed, EndlessHeads, EndlessBodies:
 		n.injectFault(e.Kind, e.Length)
 	case Declare:
 		s.declareConfig()
