receiver: free an answered request on an open connection

An open connection kept the bodies of answered requests in memory, beyond the bound on buffered bytes, since: the list of pending requests dropped its first element by slicing, and its array went on to hold it.

The element is now deleted, which clears it.

After, it passes 5 of 5 with -race.

--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -416,7 +417,7 @@
 // endResponse records that a response has been written.
 func (c *connection) endResponse() {
 	c.mu.Lock()
-	c.pending = c.pending[1:]
+	c.pending = slices.Delete(c.pending, 0, 1)
 	c.mu.Unlock()
 	c.setIdleDeadline()
 }
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -321,3 +322,27 @@
 		}
 	}
 }
+
+// TestAnsweredRequestIsFreed guards against an open connection that keeps the body of
+// an answered request in memory.
+func TestAnsweredRequestIsFreed(t *testing.T) {
+	freed := make(chan struct{})
+	_, address := startServer(t, generousLimits, func(_ context.Context, r *receiver.Request) *receiver.Response {
+		runtime.AddCleanup(r, func(freed chan struct{}) { close(freed) }, freed)
+		return okResponse("")
+	})
+	conn, r := dial(t, address)
+	send(t, conn, getRequest("/"))
+	readResponse(t, r)
+	for end := time.Now().Add(testTimeout / 3); ; {
+		runtime.GC()
+		select {
+		case <-freed:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		if time.Now().After(end) {
+			t.Fatal("the request is still in memory")
+		}
+	}
+}
