soaker: say whether a lost request was sent whole

A lost request was reported with the error of the client alone, which doesn't tell a request that the daemon had from one that the client never sent.

The message now says so. What counts as lost is unchanged.

--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -21,8 +21,10 @@
 	Sent   time.Time
 	// BodySent is when the last byte was sent, zero if that was at Sent.
 	BodySent time.Time
-	Ended    time.Time
-	Reply    emulator.Reply
+	// Written means that the whole request was sent.
+	Written bool
+	Ended   time.Time
+	Reply   emulator.Reply
 	// Err is set if the client got no response. Excused means that the request
 	// was allowed to fail; see process.excusesFailure.
 	Err     error
@@ -208,7 +210,7 @@
 		}
 		notForwarded := r.DaemonStopping && len(instances) == 0 && r.Ended.Sub(sent) <= shutdownLossSlack
 		if !r.Excused && !notForwarded {
-			addViolation("lost: no answer from a daemon that was there, %v after the request was sent, arrived at %d targets: %v", r.Ended.Sub(sent), len(instances), r.Err)
+			addViolation("lost: no answer from a daemon that was there, %v after the request was sent (whole: %v), arrived at %d targets: %v", r.Ended.Sub(sent), r.Written, len(instances), r.Err)
 		}
 		return violations
 	}
--- a/internal/soaker/node.go
+++ b/internal/soaker/node.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -296,8 +298,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
+	// The transport may still be writing when Do has returned.
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { written.Store(info.Err == nil) },
+	})
 	req.Reply, req.Err = c.Do(ctx, req.Call)
 	req.Ended = time.Now()
+	req.Written = written.Load()
 	req.Excused = n.process.excusesFailure(req.Sent, req.Ended, errors.Is(req.Err, syscall.ECONNREFUSED))
 	req.DaemonStopping = n.process.stopping()
 	if req.Err != nil && !req.Excused {
--- a/internal/soaker/stop_test.go
+++ b/internal/soaker/stop_test.go
@@ -85,11 +85,11 @@
 		requests = append(requests, c.newRequest(true))
 		data += requests[1].header() + requests[1].Call.Body
 	}
-	_, _ = io.WriteString(c, data)
+	_, err := io.WriteString(c, data)
 	bodySent := time.Now()
 	open := true
 	for _, r := range requests {
-		r.BodySent = bodySent
+		r.BodySent, r.Written = bodySent, err == nil
 		var resp *http.Response
 		if resp, r.Err = http.ReadResponse(c.reader, nil); r.Err == nil {
 			_, r.Err = io.Copy(io.Discard, resp.Body)
