forwarder: reset the connection of a cancelled request

A target that was held up read requests up to 0.9 s after their clients had left, though the daemon had closed the connections in time. An orderly close is delivered behind the bytes of the request, so that the peer first reads the request and only then sees that nobody waits for it.

A connection of the transport that is closed between the start of a request and the first byte of its response is now reset, so that a peer that has not read the request can drop it; this holds for targets and for other daemons. A 1xx response counts as a response: the peer then reads the connection, and an orderly close reaches it more reliably, as a lost reset is not sent again. Idle connections, finished exchanges and those with an early response are closed in order as before.

Linux leaves bytes that have arrived readable after a reset. The daemon of a target looks at the connection before it passes an attempt on and takes a reset for a client that is gone (TestClientGone); a running attempt is cancelled by it as by a close (TestCancel, now also without an acknowledgement).

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -287,26 +287,32 @@
 
 // TestCancel checks that the delivery is cancelled when the sender cancels.
 func TestCancel(t *testing.T) {
-	entered, ended := make(chan struct{}), make(chan struct{})
-	address := startServer(t, func(ctx context.Context, _ *carrier.Attempt) (*carrier.TargetResponse, error) {
-		carrier.Acknowledge(ctx)
-		close(entered)
-		<-ctx.Done()
-		close(ended)
-		return nil, ctx.Err()
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	go func() {
-		<-entered
-		cancel()
-	}()
-	if _, err := newClient().Send(ctx, address, attempt(matcher.Idempotent, "")); err == nil {
-		t.Error("cancelled attempt got a response")
-	}
-	select {
-	case <-ended:
-	case <-time.After(30 * time.Second):
-		t.Error("the delivery was not cancelled")
+	for name, acknowledged := range map[string]bool{"acknowledged": true, "not acknowledged": false} {
+		t.Run(name, func(t *testing.T) {
+			entered, ended := make(chan struct{}), make(chan struct{})
+			address := startServer(t, func(ctx context.Context, _ *carrier.Attempt) (*carrier.TargetResponse, error) {
+				if acknowledged {
+					carrier.Acknowledge(ctx)
+				}
+				close(entered)
+				<-ctx.Done()
+				close(ended)
+				return nil, ctx.Err()
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				<-entered
+				cancel()
+			}()
+			if _, err := newClient().Send(ctx, address, attempt(matcher.Idempotent, "")); err == nil {
+				t.Error("cancelled attempt got a response")
+			}
+			select {
+			case <-ended:
+			case <-time.After(30 * time.Second):
+				t.Error("the delivery was not cancelled")
+			}
+		})
 	}
 }
 
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -107,7 +107,8 @@
 }
 
 // countingConn is a connection that counts the bytes read from it, the bytes
-// written to it and the writes in progress.
+// written to it and the writes in progress. It resets connections on which a request
+// is unanswered.
 type countingConn struct {
 	net.Conn
 	// maxHead is the transport's bound of a response's head.
@@ -115,15 +116,31 @@
 	pendingWrites atomic.Int64
 	written       atomic.Int64
 	received      atomic.Int64
+	// unanswered is set from the start of a request to the first byte of a response.
+	unanswered atomic.Bool
 }
 
 // Read implements io.Reader and counts the bytes read.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	if n > 0 {
+		c.unanswered.Store(false)
+	}
 	return n, err
 }
 
+// Close implements io.Closer. It resets the connection if there is no response to a
+// request yet, so that a peer that has not read the request can drop it. A peer that
+// has begun to respond reads the connection, and an orderly close reaches it more
+// reliably: a lost reset is not sent again.
+func (c *countingConn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.unanswered.Load() {
+		_ = tcp.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
 // Write implements io.Writer and counts the bytes written.
 func (c *countingConn) Write(p []byte) (int, error) {
 	c.pendingWrites.Add(1)
@@ -190,6 +207,7 @@
 	if c, ok := info.Conn.(*countingConn); ok {
 		ct.startOffset.Store(c.written.Load())
 		ct.startReceived.Store(c.received.Load())
+		c.unanswered.Store(true)
 		ct.conn.Store(c)
 	}
 	ct.connected.Store(true)
