dispatcher: don't send attempts for clients that are gone

A daemon that had been held up sent a request on although its client's close had already arrived: the request and the close are then pending together, the request is handled as soon as it is read, and the context ends a moment later. The attempt went to the target's daemon, which knows only the connection between the daemons, still open, and passed it on. The same held for a retry after a rejection.

The daemon of the target already looks at the connection before it passes an attempt on. The dispatcher now does the same before each attempt and rejects the request as not run.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
@@ -101,6 +102,7 @@
 	errNoPlan     = classifier.NewFailure(classifier.NotRun, "no configuration yet", nil)
 	errNoRule     = classifier.NewFailure(classifier.NotRun, "no rule for this host and path", nil)
 	errNoTarget   = classifier.NewFailure(classifier.NotRun, "no target takes this", nil)
+	errClientGone = classifier.NewFailure(classifier.NotRun, "client went away before it was sent", nil)
 	errExpired    = classifier.NewFailure(classifier.NotRun, "time ran out before it was sent", nil)
 	errBadHeaders = classifier.NewFailure(classifier.NotRun, "bad request headers", nil)
 )
@@ -221,6 +223,9 @@
 		if d.Clock.Now().After(c.deadline) {
 			return nil, c.recordError(errExpired)
 		}
+		if forwarder.ClientGone(ctx) {
+			return nil, c.recordError(errClientGone)
+		}
 		target, ok := d.pickTarget(c, first)
 		if !ok {
 			return nil, c.recordError(errNoTarget)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
@@ -102,12 +104,16 @@
 }
 
 func (r *harness) call(path, header string) *receiver.Response {
+	return r.callContext(context.Background(), path, header)
+}
+
+func (r *harness) callContext(ctx context.Context, path, header string) *receiver.Response {
 	text := "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nId: id-1\r\n" + header + "\r\n"
 	request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
 	if err != nil {
 		panic(err)
 	}
-	return r.Handle(context.Background(), &receiver.Request{
+	return r.Handle(ctx, &receiver.Request{
 		Request: request,
 		Body:    []byte("body"),
 		Began:   time.Now(),
@@ -178,6 +184,61 @@
 	}
 }
 
+// TestGoneClientNotSent checks that no attempt is sent for a client that has closed its
+// connection, even if the context has not ended.
+func TestGoneClientNotSent(t *testing.T) {
+	for name, steps := range map[string][]step{
+		"before the first attempt": nil,
+		"before a retry":           {busy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client, conn := connect(t)
+			ctx := forwarder.WithConn(t.Context(), conn)
+			leave := func() {
+				_ = client.Close()
+				for !forwarder.ClientGone(ctx) {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			r := newHarness(matcher.Idempotent, 3, steps...)
+			if len(steps) == 0 {
+				leave()
+			}
+			send := r.Send
+			r.Send = func(ctx context.Context, address string, a *carrier.Attempt) (*carrier.TargetResponse, error) {
+				defer leave()
+				return send(ctx, address, a)
+			}
+			resp := r.callContext(ctx, "/pay/1", "")
+			if len(r.sent) != len(steps) {
+				t.Errorf("%d attempts sent, want %d", len(r.sent), len(steps))
+			}
+			if resp.Status != http.StatusServiceUnavailable {
+				t.Errorf("status %d, want %d", resp.Status, http.StatusServiceUnavailable)
+			}
+		})
+	}
+}
+
+// connect returns the two ends of a connection.
+func connect(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	if client, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	if server, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return client, server
+}
+
 // TestAttemptDeadline checks that an attempt carries the shorter of the client's
 // timeout and the rule's.
 func TestAttemptDeadline(t *testing.T) {
