forwarder: don't write requests whose client left during the dial

The daemon of a target looks for the client's close right before it passes an attempt on, but the request is written only once the transport has a connection, after a dial or a wait for a free one. A daemon that is held up in between finds the connection and the client's close together, and writes the request.

RoundTrip now looks once more when it has the connection, and closes that unused if the client is gone or the time has run out. The failure is NotRun and has no cause, so that it counts neither as a connection lost by the target nor, between daemons, as a daemon that can't be reached.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -173,7 +173,7 @@
 	result = Result{
 		Duration: d.Clock.Now().Sub(start),
 		Err:      err,
-		Aborted:  ctx.Err() == context.Canceled,
+		Aborted:  ctx.Err() == context.Canceled || (ctx.Err() == nil && errors.Is(err, forwarder.ErrCancelled)),
 		TimedOut: ctx.Err() == context.DeadlineExceeded,
 	}
 	if targetResponse != nil {
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -296,6 +296,63 @@
 	}
 }
 
+// TestSenderDisconnectedDuringDial checks the same for a sender that closes the
+// connection while the connection to the target is being opened.
+func TestSenderDisconnectedDuringDial(t *testing.T) {
+	r := newHarness(t, func(conn net.Conn, request *http.Request, _ int32) bool {
+		_, _ = io.WriteString(conn, responseHead(request, "200 OK", "Content-Length: 4\r\n")+"good")
+		return true
+	})
+	sender, conn := connect(t)
+	ctx := forwarder.WithConn(t.Context(), conn)
+	tr := forwarder.NewTransport(1)
+	dial := tr.DialContext
+	tr.DialContext = func(dialCtx context.Context, network, address string) (net.Conn, error) {
+		targetConn, err := dial(dialCtx, network, address)
+		_ = sender.Close()
+		for !forwarder.ClientGone(ctx) {
+			time.Sleep(time.Millisecond)
+		}
+		return targetConn, err
+	}
+	r.Transport = tr
+	var connectionFailed bool
+	r.BeforeForward = func(*carrier.Attempt) (func(bool), error) {
+		return func(failed bool) { connectionFailed = failed }, nil
+	}
+	if _, err := r.deliverContext(ctx, "id-1"); classifier.VerdictOf(err) != classifier.NotRun {
+		t.Errorf("error %v, want verdict NotRun", err)
+	}
+	if n := r.requests.Load(); n != 0 {
+		t.Errorf("%d requests reached the target, want 0", n)
+	}
+	if connectionFailed {
+		t.Error("the connection to the target counts as failed")
+	}
+	if len(r.results) != 1 || !r.results[0].Aborted {
+		t.Errorf("results %+v, want an aborted one", r.results)
+	}
+}
+
+// connect returns the two ends of a connection.
+func connect(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	if client, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	if server, err = ln.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return client, server
+}
+
 // TestConnectionReuse checks that sequential requests use one connection.
 func TestConnectionReuse(t *testing.T) {
 	r := newHarness(t, func(conn net.Conn, request *http.Request, _ int32) bool {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -320,7 +320,7 @@
 		if f.Verdict == classifier.NotRun && (c.retryAfter == 0 || f.RetryAfter < c.retryAfter) {
 			c.retryAfter = f.RetryAfter
 		}
-	case ctx.Err() == nil:
+	case !forwarder.ClientGone(ctx):
 		d.Chooser.RecordUnreachable(t.Instance)
 	}
 }
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -239,6 +240,31 @@
 	return client, server
 }
 
+// TestGoneClientBlamesNoTarget checks that an attempt which fails after its client has
+// left does not keep other requests from the target.
+func TestGoneClientBlamesNoTarget(t *testing.T) {
+	client, conn := connect(t)
+	ctx := forwarder.WithConn(t.Context(), conn)
+	r := newHarness(matcher.Idempotent, 2, unreachable)
+	send := r.Send
+	r.Send = func(sendCtx context.Context, address string, a *carrier.Attempt) (*carrier.TargetResponse, error) {
+		_ = client.Close()
+		for !forwarder.ClientGone(ctx) {
+			time.Sleep(time.Millisecond)
+		}
+		return send(sendCtx, address, a)
+	}
+	r.callContext(ctx, "/pay/1", "")
+	instance := r.sent[0].Instance
+	for range 50 {
+		r.steps = []step{answered(200)}
+		r.call("/pay/1", "")
+	}
+	if !slices.ContainsFunc(r.sent[1:], func(a *carrier.Attempt) bool { return a.Instance == instance }) {
+		t.Errorf("%s got none of 50 later requests", instance)
+	}
+}
+
 // TestAttemptDeadline checks that an attempt carries the shorter of the client's
 // timeout and the rule's.
 func TestAttemptDeadline(t *testing.T) {
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -197,13 +197,23 @@
 // connTrace records the connection on which a request is sent, and the numbers of
 // bytes written to it and read from it before the request.
 type connTrace struct {
+	// ctx is the context of the request, with its client's connection.
+	ctx           context.Context
 	conn          atomic.Pointer[countingConn]
 	connected     atomic.Bool
 	startOffset   atomic.Int64
 	startReceived atomic.Int64
+	cancelled     atomic.Bool
 }
 
+// gotConn records the connection. If the client has left, or the time has run out,
+// while the request waited for a connection, it closes the connection, so that the
+// request is not written.
 func (ct *connTrace) gotConn(info httptrace.GotConnInfo) {
+	if ClientGone(ct.ctx) {
+		ct.cancelled.Store(true)
+		_ = info.Conn.Close()
+	}
 	if c, ok := info.Conn.(*countingConn); ok {
 		ct.startOffset.Store(c.written.Load())
 		ct.startReceived.Store(c.received.Load())
@@ -243,6 +253,10 @@
 // Error implements error.
 func (e *TooLongError) Error() string { return strconv.FormatInt(e.Read, 10) + " bytes read" }
 
+// ErrCancelled means that the client left, or that the time ran out, before the
+// request was written.
+var ErrCancelled = classifier.NewFailure(classifier.NotRun, "cancelled before it was written", nil)
+
 // roundTripFramed sends a request once. It fails if the response has no framing
 // by which its end can be detected.
 func roundTripFramed(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
@@ -257,7 +271,7 @@
 // transport cannot send it again. The error has the verdict NotRun only if no
 // byte can have been written.
 func RoundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
-	var ct connTrace
+	ct := connTrace{ctx: req.Context()}
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: ct.gotConn})
 	resp, err := rt.RoundTrip(req.WithContext(ctx))
 	switch {
@@ -265,6 +279,8 @@
 		return resp, nil
 	case !ct.connected.Load():
 		return nil, classifier.NewFailure(classifier.NotRun, "no connection", err)
+	case ct.cancelled.Load() && ct.nothingWritten():
+		return nil, ErrCancelled
 	case bodyError(req) != nil:
 		return nil, classifier.NewFailure(classifier.MayHaveRun, "body broke off", bodyError(req))
 	case ctx.Err() != nil:
