--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -108,7 +108,8 @@
 }
 
 // countingConn is a connection that counts the bytes read from it, the bytes
-// written to it and the writes in progress.
+// written to it and the writes in progress. It resets connections on which a request
+// is unanswered.
 type countingConn struct {
 	net.Conn
 	// maxHead is the transport's bound of a response's head.
@@ -116,15 +117,31 @@
 	pendingWrites atomic.Int64
 	written       atomic.Int64
 	received      atomic.Int64
+	// unanswered is set from the start of a request to the first byte of a response.
+	unanswered atomic.Bool
 }
 
 // Read implements io.Reader and counts the bytes read.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	if n > 0 {
+		c.unanswered.Store(false)
+	}
 	return n, err
 }
 
+// Close implements io.Closer. It resets the connection if there is no response to a
+// request yet, so that a peer that has not read the request can drop it. A peer that
+// has begun to respond reads the connection, and an orderly close reaches it more
+// reliably: a lost reset is not sent again.
+func (c *countingConn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.unanswered.Load() {
+		_ = tcp.SetLinger(0)
+	}
+	return c.Conn.Close()
+}
+
 // Write implements io.Writer and counts the bytes written.
 func (c *countingConn) Write(p []byte) (int, error) {
 	c.pendingWrites.Add(1)
@@ -181,16 +198,27 @@
 // connTrace records the connection on which a request is sent, and the numbers of
 // bytes written to it and read from it before the request.
 type connTrace struct {
+	// ctx is the context of the request, with its client's connection.
+	ctx           context.Context
 	conn          atomic.Pointer[countingConn]
 	connected     atomic.Bool
 	startOffset   atomic.Int64
 	startReceived atomic.Int64
+	cancelled     atomic.Bool
 }
 
+// gotConn records the connection. If the client has left, or the time has run out,
+// while the request waited for a connection, it closes the connection, so that the
+// request is not written.
 func (ct *connTrace) gotConn(info httptrace.GotConnInfo) {
+	if ClientGone(ct.ctx) {
+		ct.cancelled.Store(true)
+		_ = info.Conn.Close()
+	}
 	if c, ok := info.Conn.(*countingConn); ok {
 		ct.startOffset.Store(c.written.Load())
 		ct.startReceived.Store(c.received.Load())
+		c.unanswered.Store(true)
 		ct.conn.Store(c)
 	}
 	ct.connected.Store(true)
@@ -232,6 +260,10 @@
 	return errors.As(err, &tooLong)
 }
 
+// ErrCancelled means that the client left, or that the time ran out, before the
+// request was written.
+var ErrCancelled = classifier.NewFailure(classifier.NotRun, "cancelled before it was written", nil)
+
 // roundTripFramed sends a request once. It fails if the response has no framing
 // by which its end can be detected.
 func roundTripFramed(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
@@ -246,7 +278,7 @@
 // transport cannot send it again. The error has the verdict NotRun only if no
 // byte can have been written.
 func RoundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
-	var ct connTrace
+	ct := connTrace{ctx: req.Context()}
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: ct.gotConn})
 	resp, err := rt.RoundTrip(req.WithContext(ctx))
 	switch {
@@ -254,6 +286,8 @@
 		return resp, nil
 	case !ct.connected.Load():
 		return nil, classifier.NewFailure(classifier.NotRun, "no connection", err)
+	case ct.cancelled.Load() && ct.nothingWritten():
+		return nil, ErrCancelled
 	case bodyError(req) != nil:
 		return nil, classifier.NewFailure(classifier.MayHaveRun, "body broke off", bodyError(req))
 	case ctx.Err() != nil:
