receiver: answer requests on connections that wait in the backlog at the stop

A client that had connected and sent its request shortly before the end of a graceful shutdown saw its connection reset, when the daemon had not accepted the connection by then, for example for lack of processor time. One whose connection was accepted but not counted met the exit of the process.

Stop closed the listeners, and the kernel resets the connections that are left in the backlog of a closed listener. The shutdown went by the number of open connections, which a connection joins only after Accept has returned.

Stop now ends Accept with a deadline. Serve accepts what the backlog still holds, then closes the listener. These connections are served like those that are idle at the stop: a request that has arrived is rejected with 503. Ended also waits for Serve to return, and the shutdown goes by it. Accept with an expired deadline does not look at the backlog, as Read does not look at the socket, so Serve asks poll first.

The listener of the package's tests embeds *net.TCPListener, so that the tests run with deadlines as the daemon does; no check has changed.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -74,26 +74,48 @@
 	MaxBufferedBytes int64
 }
 
-// Serve serves the connections of a listener until ctx ends or Stop is called.
+// Serve serves the connections of a listener until ctx ends or Stop is called. After
+// Stop, it first accepts the connections that are established.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	s.addListener(ln)
+	defer s.removeListener(ln)
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil || s.stopped.Load() {
-				return nil
-			}
-			if !isTemporary(err) {
-				return Class.Wrap(err)
-			}
+		switch {
+		case err == nil:
+			s.serveConn(conn)
+		case ctx.Err() != nil:
+			return nil
+		case s.stopped.Load():
+			s.acceptBacklog(ln)
+			return nil
+		case isTemporary(err):
 			time.Sleep(acceptRetryDelay)
-			continue
+		default:
+			return Class.Wrap(err)
+		}
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	c := newConnection(s, conn)
+	s.addConnection(c)
+	go c.serve()
+}
+
+// acceptBacklog accepts the connections that wait in a listener's backlog, and closes
+// the listener. Closing it resets those that are left.
+func (s *Server) acceptBacklog(ln net.Listener) {
+	defer ln.Close()
+	for hasBacklog(ln) {
+		_ = ln.(deadlineListener).SetDeadline(time.Now().Add(acceptTimeout))
+		conn, err := ln.Accept()
+		if err != nil {
+			return
 		}
-		c := newConnection(s, conn)
-		s.addConnection(c)
-		go c.serve()
+		s.serveConn(conn)
 	}
 }
 
@@ -101,6 +123,9 @@
 // such as a lack of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
+// acceptTimeout bounds an accept from the backlog of a listener that is closed next.
+const acceptTimeout = 100 * time.Millisecond
+
 // Drain starts a graceful shutdown: the server closes a connection after a response
 // if no other response is pending on it.
 func (s *Server) Drain() {
@@ -145,20 +170,28 @@
 // Stop closes the listeners and the idle connections. Requests that are in flight
 // or being read get their responses. Requests that have arrived without being read, or
 // arrive while a connection is still open, are rejected, and their connections closed.
-// Connections counts those that have not ended.
+// Ended reports when all of this is done.
 func (s *Server) Stop() {
 	s.Drain()
 	s.stopped.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for ln := range s.listeners {
-		_ = ln.Close()
+		interruptAccept(ln)
 	}
 	for c := range s.connections {
 		c.setIdleDeadline()
 	}
 }
 
+// Ended reports whether Stop was called, the listeners have been closed and all
+// connections have ended.
+func (s *Server) Ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped.Load() && len(s.listeners) == 0 && len(s.connections) == 0
+}
+
 func (s *Server) addListener(ln net.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -166,6 +199,15 @@
 		s.listeners = map[net.Listener]bool{}
 	}
 	s.listeners[ln] = true
+	if s.stopped.Load() {
+		interruptAccept(ln)
+	}
+}
+
+func (s *Server) removeListener(ln net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, ln)
 }
 
 func (s *Server) addConnection(c *connection) {
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -46,8 +46,8 @@
 	t.Cleanup(cancel)
 	go func() {
 		_ = s.Serve(ctx, &wrappingListener{
-			Listener: ln,
-			wrap:     wrap,
+			TCPListener: ln.(*net.TCPListener),
+			wrap:        wrap,
 		})
 	}()
 	return ln.Addr().String()
@@ -55,12 +55,12 @@
 
 // wrappingListener replaces the connections that it accepts.
 type wrappingListener struct {
-	net.Listener
+	*net.TCPListener
 	wrap func(*net.TCPConn) net.Conn
 }
 
 func (l *wrappingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.TCPListener.Accept()
 	if err != nil || l.wrap == nil {
 		return conn, err
 	}
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -56,7 +56,7 @@
 			d.stopReceiver()
 			stopped = true
 		}
-		if open, _ := d.receiver.Connections(); stopped && open == 0 && !d.servesAttempts() {
+		if d.receiver.Ended() && !d.servesAttempts() {
 			return
 		}
 		time.Sleep(shutdownPollInterval)
