sidecar: count attempts that have arrived unread as under way at the stop

A caller got 502 for a request that a target had not run, when the daemon of that target exited while the attempt was unread on a kept connection.

The shutdown counted the connections of other daemons by the states of net/http, where a connection is idle until the server has read a request. The exit then reset the connection, and the sender could not know that nothing had run: an attempt without a body is may-have-run once it is written.

The count now also looks at the sockets of the connections that are not active.

Not covered: a request whose bytes the server has taken but whose header it has not read in full, and connections in the listener's backlog.

Before, TestBusyConnectionsCountsUnreadRequest fails 2 of 2 runs: 0 busy connections, want 1 with a request that has arrived After, it passes 3 of 3 with -race, and the shutdown tests of the package once.

--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
 // Timing of a graceful shutdown.
@@ -89,28 +91,42 @@
 }
 
 // busyConnections counts the connections of an HTTP server on which a request has
-// begun and its response has not been written.
+// arrived and its response has not been written.
 type busyConnections struct {
-	mu          sync.Mutex
-	connections map[net.Conn]bool
+	mu sync.Mutex
+	// connections holds the state of each connection that has not ended.
+	connections map[net.Conn]http.ConnState
 }
 
 // update is the ConnState function of the server.
 func (b *busyConnections) update(conn net.Conn, state http.ConnState) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if state != http.StateActive {
+	switch state {
+	case http.StateClosed, http.StateHijacked:
 		delete(b.connections, conn)
-		return
-	}
-	if b.connections == nil {
-		b.connections = map[net.Conn]bool{}
+	default:
+		if b.connections == nil {
+			b.connections = map[net.Conn]http.ConnState{}
+		}
+		b.connections[conn] = state
 	}
-	b.connections[conn] = true
 }
 
+// count also looks for requests that the server has not begun to read.
 func (b *busyConnections) count() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.connections)
+	busy := 0
+	var p [1]byte
+	for conn, state := range b.connections {
+		if state == http.StateActive {
+			busy++
+			continue
+		}
+		if n, _ := forwarder.Peek(conn, p[:]); n > 0 {
+			busy++
+		}
+	}
+	return busy
 }
