--- a/internal/receiver/accept_test.go
+++ b/internal/receiver/accept_test.go
@@ -25,8 +25,7 @@
 	return l.TCPListener.Accept()
 }
 
-// TestStopAnswersRequestInBacklog guards against resetting a connection that was
-// established, and has a request, but was not accepted when Stop is called.
+// TestStopAnswersRequestInBacklog guards against resetting a connection in the backlog.
 func TestStopAnswersRequestInBacklog(t *testing.T) {
 	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
 		return okResponse("")
@@ -55,8 +54,7 @@
 	}
 }
 
-// TestEndedWaitsForConnectionBeingAccepted guards against a process that exits while a
-// connection has been accepted but is not counted.
+// TestEndedWaitsForConnectionBeingAccepted guards against an exit before it is counted.
 func TestEndedWaitsForConnectionBeingAccepted(t *testing.T) {
 	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
 		return okResponse("")
--- a/internal/receiver/close_test.go
+++ b/internal/receiver/close_test.go
@@ -52,8 +52,7 @@
 	}
 }
 
-// TestDrainClosesWithResponseWrittenEarly guards against a connection left open by a
-// response that is written before the reader waits for the next request.
+// TestDrainClosesWithResponseWrittenEarly guards against leaving its connection open.
 func TestDrainClosesWithResponseWrittenEarly(t *testing.T) {
 	var read atomic.Bool
 	returned, release := make(chan struct{}), make(chan struct{})
@@ -91,8 +90,7 @@
 	}
 }
 
-// TestHeaderTimeoutBehindResponse guards against a header without a time limit while
-// an earlier response is written.
+// TestHeaderTimeoutBehindResponse guards against a header without a time limit.
 func TestHeaderTimeoutBehindResponse(t *testing.T) {
 	limits := generousLimits
 	limits.HeaderTimeout = 500 * time.Millisecond
@@ -123,8 +121,7 @@
 	}
 }
 
-// TestIdleTimeoutServesRequestInSocket guards against discarding a request that
-// arrived before the idle timeout but was not read by then.
+// TestIdleTimeoutServesRequestInSocket guards against discarding an unread request.
 func TestIdleTimeoutServesRequestInSocket(t *testing.T) {
 	limits := generousLimits
 	limits.IdleTimeout = 20 * time.Millisecond
@@ -150,8 +147,7 @@
 	}
 }
 
-// TestStopAnswersRequestThatTheReaderHasTaken guards against dropping a request whose
-// first bytes have been read when Stop is called.
+// TestStopAnswersRequestThatTheReaderHasTaken guards against dropping the request.
 func TestStopAnswersRequestThatTheReaderHasTaken(t *testing.T) {
 	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
 		return okResponse("")
@@ -172,8 +168,7 @@
 	checkRejection(t, resp)
 }
 
-// TestStopAnswersRequestInSocket guards against closing a connection on which a
-// request has arrived that has not been read.
+// TestStopAnswersRequestInSocket guards against a close with a request unread.
 func TestStopAnswersRequestInSocket(t *testing.T) {
 	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
 		return okResponse("")
@@ -199,8 +194,7 @@
 	checkRejection(t, resp)
 }
 
-// TestStopAnswersPipelinedRequest guards against dropping a request that arrives after
-// Stop while another is in flight on its connection.
+// TestStopAnswersPipelinedRequest guards against dropping a request behind another.
 func TestStopAnswersPipelinedRequest(t *testing.T) {
 	entered, release := make(chan struct{}), make(chan struct{})
 	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/sidecar/shutdown_test.go
@@ -7,8 +7,7 @@
 	"time"
 )
 
-// TestBusyConnectionsCountsUnreadRequest guards against a process that exits with a
-// request of another daemon unread on an idle connection.
+// TestBusyConnectionsCountsUnreadRequest guards against an exit with an attempt unread.
 func TestBusyConnectionsCountsUnreadRequest(t *testing.T) {
 	var b busyConnections
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
