--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -51,7 +51,7 @@
 			idleSince = time.Time{}
 		case idleSince.IsZero():
 			idleSince = now
-		case now.Sub(idleSince) > idleTime:
+		case !stopped && now.Sub(idleSince) > idleTime:
 			stopTime = now
 		}
 		if !now.Before(stopTime) && !stopped {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -665,8 +665,7 @@
 	}
 }
 
-// TestShutdownWaitsForClientConnections guards against a process that exits while it
-// closes the connections of its clients.
+// TestShutdownWaitsForClientConnections guards against an exit before they are closed.
 func TestShutdownWaitsForClientConnections(t *testing.T) {
 	m := newMesh(t)
 	a := m.addNode("zilina", "renewal", "v1")
@@ -716,8 +715,7 @@
 	return resp, err
 }
 
-// TestShutdownWaitsForResponsesToDaemons guards against a process that exits while
-// another daemon reads a target's response slowly.
+// TestShutdownWaitsForResponsesToDaemons guards against an exit that cuts a response off.
 func TestShutdownWaitsForResponsesToDaemons(t *testing.T) {
 	m := newMesh(t)
 	a := m.addNode("zilina", "renewal", "v1")
