dispatcher: don't pay twice for a retry that was not sent

A request whose first attempt had failed and whose retry found no connection, for example since the link was full or the other daemon was dead, got 502 when the budget had no further token, though the retry that it had paid for had reached nobody.

The budget limits what arrives at targets. A paid retry that has not reached a daemon now carries over to the next attempt, if the time suffices; a rejection by a daemon or a target is paid as before.

Before, TestUnsentRetryIsNotPaidTwice: "status 502 after 2 attempts, want 200 after 3".

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -43,12 +43,21 @@
 	// retryReserved is set when a retry has been taken from the budget before the
 	// attempt that it follows was cancelled.
 	retryReserved atomic.Bool
+	// retryPaid means that a retry has been taken from the budget for an attempt that
+	// has not reached a target.
+	retryPaid bool
 	// failedResponse is a target's response with a 5xx status.
 	failedResponse *carrier.TargetResponse
 	// responses holds the responses whose memory has not been released.
 	responses []*carrier.TargetResponse
 }
 
+// recordDelivery records that an attempt may have reached a target.
+func (c *call) recordDelivery() {
+	c.deliveries++
+	c.retryPaid = false
+}
+
 // release releases the memory of all responses.
 func (c *call) release() {
 	for _, r := range c.responses {
@@ -101,7 +110,8 @@
 		return false
 	}
 	c.failedResponse = resp
-	return d.reserveRetry(c, c.deliveries, ranCost)
+	c.retryPaid = d.reserveRetry(c, c.deliveries, ranCost)
+	return c.retryPaid
 }
 
 // mayGiveUp returns the function that decides whether the next attempt may be cancelled
@@ -124,19 +134,25 @@
 
 // shouldRetryError reports whether a request without a response may be sent
 // again. If so, and if an attempt may have reached a target, it takes the retry
-// from the budget.
+// from the budget. A retry that has not reached a daemon is not paid again.
 func (d *Dispatcher) shouldRetryError(c *call, err error) bool {
-	if classifier.VerdictOf(err) != classifier.NotRun && c.rule.Kind != matcher.Idempotent {
+	f := carrier.NewFailure(err)
+	if f.Verdict != classifier.NotRun && c.rule.Kind != matcher.Idempotent {
 		return false
 	}
 	switch {
-	case c.retryReserved.Swap(false), c.deliveries == 0:
+	case c.retryReserved.Swap(false):
+		c.retryPaid = true
+	case c.deliveries == 0:
 		return true
-	case classifier.VerdictOf(err) == classifier.NotRun:
-		return d.reserveRetry(c, c.deliveries, notRunCost)
+	case c.retryPaid && f.Verdict == classifier.NotRun && !f.Reported && !f.Arrived:
+		return d.hasTimeForRetry(c)
+	case f.Verdict == classifier.NotRun:
+		c.retryPaid = d.reserveRetry(c, c.deliveries, notRunCost)
 	default:
-		return d.reserveRetry(c, c.deliveries, ranCost)
+		c.retryPaid = d.reserveRetry(c, c.deliveries, ranCost)
 	}
+	return c.retryPaid
 }
 
 // reserveRetry takes a retry from the budget and reports whether it could. A
@@ -146,10 +162,12 @@
 	if deliveries >= c.rule.MaxAttempts {
 		return false
 	}
-	if d.Clock.Now().Add(d.Chooser.MeanServiceTime(c.rule.Name) / 2).After(c.deadline) {
-		return false
-	}
-	return d.RetryBudget.TryWithdraw(c.service, cost)
+	return d.hasTimeForRetry(c) && d.RetryBudget.TryWithdraw(c.service, cost)
+}
+
+// hasTimeForRetry reports whether a retry could end before the deadline.
+func (d *Dispatcher) hasTimeForRetry(c *call) bool {
+	return !d.Clock.Now().Add(d.Chooser.MeanServiceTime(c.rule.Name) / 2).After(c.deadline)
 }
 
 // recordError updates and returns the error to report for the request.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -302,7 +302,7 @@
 		d.recordFailure(ctx, c, t.Target, carrier.NewFailure(err))
 		return nil, err
 	}
-	c.deliveries++
+	c.recordDelivery()
 	c.responses = append(c.responses, targetResponse)
 	d.Chooser.RecordLoad(t.Instance, c.rule.Name, targetResponse.Load)
 	return targetResponse, nil
@@ -312,7 +312,7 @@
 // failed attempt.
 func (d *Dispatcher) recordFailure(ctx context.Context, c *call, t chooser.Target, f *carrier.Failure) {
 	if f.Arrived {
-		c.deliveries++
+		c.recordDelivery()
 	}
 	switch {
 	case f.Reported:
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -265,6 +265,20 @@
 	}
 }
 
+// TestUnsentRetryIsNotPaidTwice guards against failing a request with a retry unused.
+func TestUnsentRetryIsNotPaidTwice(t *testing.T) {
+	r := newHarness(matcher.Idempotent, 3, connectionBroken, unreachable, answered(200))
+	r.RetryBudget.SetLimits(0, 0)
+	if resp := r.call("/pay/1", ""); resp.Status != http.StatusOK {
+		t.Errorf("status %d after %d attempts, want 200 after 3", resp.Status, len(r.sent))
+	}
+	r = newHarness(matcher.Idempotent, 4, connectionBroken, shed, answered(200))
+	r.RetryBudget.SetLimits(0, 0)
+	if resp := r.call("/pay/1", ""); resp.Status != http.StatusBadGateway || len(r.sent) != 2 {
+		t.Errorf("status %d after %d attempts, want 502 after 2: the retry has reached its target", resp.Status, len(r.sent))
+	}
+}
+
 // TestAttemptDeadline checks that an attempt carries the shorter of the client's
 // timeout and the rule's.
 func TestAttemptDeadline(t *testing.T) {
