--- a/internal/soaker/stop_test.go
+++ b/internal/soaker/stop_test.go
@@ -36,6 +36,9 @@
 	random *rand.Rand
 	name   string
 	sent   []*sentRequest
+	// usedAfterStop means that the connection was open when its client sent the first
+	// request after SIGTERM.
+	usedAfterStop bool
 }
 
 // sentRequest is a request on a kept connection. A pipelined one was sent behind
@@ -93,6 +96,7 @@
 		var resp *http.Response
 		if resp, r.Err = http.ReadResponse(c.reader, nil); r.Err == nil {
 			_, r.Err = io.Copy(io.Discard, resp.Body)
+			r.Reply.Status = resp.StatusCode
 			open = open && !resp.Close
 		}
 		r.Ended = time.Now()
@@ -109,6 +113,7 @@
 	if _, err := c.reader.Peek(1); !os.IsTimeout(err) {
 		return
 	}
+	c.usedAfterStop = true
 	for c.send() {
 	}
 }
@@ -226,21 +231,34 @@
 }
 
 // checkNotLost checks that each request on the connections got a response, or was
-// neither forwarded nor unanswered for longer than shutdownLossSlack.
+// neither forwarded nor unanswered for longer than shutdownLossSlack. A request that was
+// rejected must not have run. A quarter of the connections must have been used after
+// SIGTERM.
 func checkNotLost(t *testing.T, l *Ledger, conns []*keptConn) {
 	instances := map[string]map[string]bool{}
+	ran := map[string]bool{}
 	for _, start := range l.starts {
 		for _, a := range start.Arrivals {
 			if instances[a.ID] == nil {
 				instances[a.ID] = map[string]bool{}
 			}
 			instances[a.ID][start.Instance] = true
+			ran[a.ID] = ran[a.ID] || a.Ran
 		}
 	}
-	requests, unanswered := 0, 0
+	requests, unanswered, rejected, used := 0, 0, 0, 0
 	for _, c := range conns {
+		if c.usedAfterStop {
+			used++
+		}
 		for _, r := range c.sent {
 			requests++
+			if r.Err == nil && r.Reply.Status == http.StatusServiceUnavailable {
+				rejected++
+				if ran[r.Call.ID] {
+					t.Errorf("%s: rejected, and has run", r.Call.ID)
+				}
+			}
 			if r.Err == nil {
 				continue
 			}
@@ -257,5 +275,8 @@
 	for _, v := range l.reported {
 		t.Error(v)
 	}
-	t.Logf("%d requests, %d without a response", requests, unanswered)
+	if used < len(conns)/4 {
+		t.Errorf("%d of %d connections were used after SIGTERM, want a quarter", used, len(conns))
+	}
+	t.Logf("%d requests, %d without a response, %d rejected, %d connections used after SIGTERM", requests, unanswered, rejected, used)
 }
