--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -34,8 +33,10 @@
 	Target    string
 	Gate      *admitter.Gate
 	Transport http.RoundTripper
-	Codec     Codec
-	Clock     timekeeper.Clock
+	// Memory bounds the bodies of the target's responses.
+	Memory *carrier.Memory
+	Codec  Codec
+	Clock  timekeeper.Clock
 	// BeforeForward is called before an attempt is forwarded and may reject it with an
 	// error. Otherwise done is called when the attempt has ended. connectionFailed
 	// reports whether the connection to the target broke or was refused.
@@ -72,9 +73,6 @@
 	return r.Err != nil && !r.Aborted && !r.TimedOut && classifier.VerdictOf(r.Err) == classifier.NotRun
 }
 
-// maxResponseBytes is the largest accepted size of a response body.
-const maxResponseBytes = 64 << 20
-
 // Deliver forwards an attempt when the gate has admitted it. Its error is a
 // *carrier.Failure.
 func (d *Deliverer) Deliver(ctx context.Context, a *carrier.Attempt) (*carrier.TargetResponse, error) {
@@ -175,7 +173,7 @@
 	result = Result{
 		Duration: d.Clock.Now().Sub(start),
 		Err:      err,
-		Aborted:  ctx.Err() == context.Canceled,
+		Aborted:  ctx.Err() == context.Canceled || (ctx.Err() == nil && errors.Is(err, forwarder.ErrCancelled)),
 		TimedOut: ctx.Err() == context.DeadlineExceeded,
 	}
 	if targetResponse != nil {
@@ -191,7 +189,7 @@
 // broke or was refused, for example because the target has exited.
 func isConnectionError(err error) bool {
 	var f *classifier.Failure
-	return errors.As(err, &f) && f.Err != nil
+	return errors.As(err, &f) && f.Err != nil && !forwarder.IsTooLong(err)
 }
 
 // newRequest returns the request to the target.
@@ -215,16 +213,14 @@
 	if err := d.Codec.CheckResponse(resp, a); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, release, err := d.Memory.ReadBody(resp)
 	if err != nil {
-		return nil, &carrier.Failure{
-			Failure: classifier.NewFailure(classifier.Ran, "answer of the target broke off", err),
-			Arrived: true,
+		reason := "answer of the target broke off"
+		if forwarder.IsTooLong(err) {
+			reason = "answer of the target too long"
 		}
-	}
-	if len(body) > maxResponseBytes {
 		return nil, &carrier.Failure{
-			Failure: classifier.NewFailure(classifier.Ran, "answer of the target too long", nil),
+			Failure: classifier.NewFailure(classifier.Ran, reason, err),
 			Arrived: true,
 		}
 	}
@@ -232,5 +228,6 @@
 		Status: resp.StatusCode,
 		Header: forwarder.ForwardedHeader(resp.Header),
 		Body:   body,
+		Done:   release,
 	}, nil
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
@@ -101,6 +102,7 @@
 	errNoPlan     = classifier.NewFailure(classifier.NotRun, "no configuration yet", nil)
 	errNoRule     = classifier.NewFailure(classifier.NotRun, "no rule for this host and path", nil)
 	errNoTarget   = classifier.NewFailure(classifier.NotRun, "no target takes this", nil)
+	errClientGone = classifier.NewFailure(classifier.NotRun, "client went away before it was sent", nil)
 	errExpired    = classifier.NewFailure(classifier.NotRun, "time ran out before it was sent", nil)
 	errBadHeaders = classifier.NewFailure(classifier.NotRun, "bad request headers", nil)
 )
@@ -112,6 +114,7 @@
 		excluded: map[string]bool{},
 		busy:     map[string]bool{},
 	}
+	defer c.release()
 	targetResponse, err := d.forward(ctx, c)
 	if err != nil && c.failedResponse != nil {
 		targetResponse, err = c.failedResponse, nil
@@ -220,6 +223,9 @@
 		if d.Clock.Now().After(c.deadline) {
 			return nil, c.recordError(errExpired)
 		}
+		if forwarder.ClientGone(ctx) {
+			return nil, c.recordError(errClientGone)
+		}
 		target, ok := d.pickTarget(c, first)
 		if !ok {
 			return nil, c.recordError(errNoTarget)
@@ -297,6 +303,7 @@
 		return nil, err
 	}
 	c.deliveries++
+	c.responses = append(c.responses, targetResponse)
 	d.Chooser.RecordLoad(t.Instance, c.rule.Name, targetResponse.Load)
 	return targetResponse, nil
 }
@@ -313,7 +320,7 @@
 		if f.Verdict == classifier.NotRun && (c.retryAfter == 0 || f.RetryAfter < c.retryAfter) {
 			c.retryAfter = f.RetryAfter
 		}
-	case ctx.Err() == nil:
+	case !forwarder.ClientGone(ctx):
 		d.Chooser.RecordUnreachable(t.Instance)
 	}
 }
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,8 +31,22 @@
 	WrongAttemptID bool
 	// OmitLength sends the response without a Content-Length header.
 	OmitLength bool
+	// Endless sends a response whose head or body doesn't end before the daemon
+	// closes the connection.
+	Endless Endless
+	// Padding is the number of bytes that are added to each response.
+	Padding int
 }
 
+// Endless is the part of a response that does not end.
+type Endless string
+
+// Parts of a response.
+const (
+	EndlessHead Endless = "head"
+	EndlessBody Endless = "body"
+)
+
 // Arrival is a request that reached a Backend.
 type Arrival struct {
 	ID     string
@@ -231,7 +246,8 @@
 		w.WriteHeader(status)
 		return
 	}
-	defer b.endRequest()
+	end := sync.OnceFunc(b.endRequest)
+	defer end()
 	if b.crashesOn(string(body)) {
 		b.Crash()
 		panic(http.ErrAbortHandler)
@@ -249,6 +265,11 @@
 		h.Set("X-Attempt-Id", "another")
 	}
 	h.Set("X-Server-Stamp", "stamp-"+b.instance)
+	if f.Endless != "" {
+		end() // as for other responses, the slot is free once the request has run
+		b.sendEndless(w, r, f.Endless)
+		return
+	}
 	if f.OmitLength {
 		h.Set("Connection", "close")
 		h.Set("Transfer-Encoding", "identity")
@@ -256,7 +277,21 @@
 	if fails {
 		w.WriteHeader(http.StatusInternalServerError)
 	}
-	_, _ = fmt.Fprintf(w, "%s %s %s", b.instance, r.RequestURI, body)
+	_, _ = fmt.Fprintf(w, "%s %s %s%s", b.instance, r.RequestURI, body, strings.Repeat(" ", f.Padding))
+}
+
+// sendEndless sends a response until the daemon closes the connection.
+func (b *Backend) sendEndless(w http.ResponseWriter, r *http.Request, part Endless) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + r.Header.Get("X-Attempt-Id") + "\r\nX-Server-Stamp: stamp\r\nX-Filler: "
+	if part == EndlessBody {
+		head += "none\r\nConnection: close\r\n\r\n"
+	}
+	_, _ = io.Copy(conn, io.MultiReader(strings.NewReader(head), fillReader{}))
 }
 
 // recordArrival records a request. It returns the current faults, whether the
--- /dev/null
+++ b/internal/receiver/close_test.go
@@ -0,0 +1,233 @@
+package receiver_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
+	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+)
+
+// hookedConn calls functions around each read, if they are set.
+type hookedConn struct {
+	*net.TCPConn
+	beforeRead func(conn *net.TCPConn)
+	afterRead  func(n int)
+}
+
+func (h *hookedConn) Read(p []byte) (int, error) {
+	if h.beforeRead != nil {
+		h.beforeRead(h.TCPConn)
+	}
+	n, err := h.TCPConn.Read(p)
+	if h.afterRead != nil {
+		h.afterRead(n)
+	}
+	return n, err
+}
+
+// awaitData waits until data has arrived on a connection.
+func awaitData(t *testing.T, conn net.Conn) {
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		if n, _ := forwarder.Peek(conn, make([]byte, 1)); n > 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Error("no data has arrived")
+			return
+		}
+	}
+}
+
+// checkRejection checks a response to a request that arrived around a stop.
+func checkRejection(t *testing.T, resp *http.Response) {
+	t.Helper()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("status %d, Retry-After %q, closed %v, want 503 with Retry-After and a close", resp.StatusCode, resp.Header.Get("Retry-After"), resp.Close)
+	}
+}
+
+// TestDrainClosesWithResponseWrittenEarly guards against a connection left open by a
+// response that is written before the reader waits for the next request.
+func TestDrainClosesWithResponseWrittenEarly(t *testing.T) {
+	var read atomic.Bool
+	returned, release := make(chan struct{}), make(chan struct{})
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
+		<-returned
+		return okResponse("answered")
+	})
+	s.Limits = func() receiver.Limits {
+		if read.CompareAndSwap(true, false) {
+			close(returned)
+			<-release
+		}
+		return generousLimits
+	}
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		total := 0
+		return &hookedConn{
+			TCPConn: conn,
+			afterRead: func(n int) {
+				if total += n; total == len(getRequest("/")) {
+					total = 0
+					read.Store(true)
+				}
+			},
+		}
+	})
+	s.Drain()
+	conn, r := dial(t, address)
+	send(t, conn, "G")
+	time.Sleep(50 * time.Millisecond)
+	send(t, conn, strings.TrimPrefix(getRequest("/"), "G"))
+	defer close(release)
+	if resp, body := readResponse(t, r); body != "answered" || !resp.Close {
+		t.Errorf("response %q, closed %v, want \"answered\" and true", body, resp.Close)
+	}
+}
+
+// TestHeaderTimeoutBehindResponse guards against a header without a time limit while
+// an earlier response is written.
+func TestHeaderTimeoutBehindResponse(t *testing.T) {
+	limits := generousLimits
+	limits.HeaderTimeout = 500 * time.Millisecond
+	entered, release := make(chan struct{}), make(chan struct{})
+	var received atomic.Int64
+	s := newServer(limits, func(context.Context, *receiver.Request) *receiver.Response {
+		close(entered)
+		<-release
+		return okResponse("answered")
+	})
+	conn, r := dial(t, serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn:   conn,
+			afterRead: func(n int) { received.Add(int64(n)) },
+		}
+	}))
+	send(t, conn, getRequest("/1"))
+	<-entered
+	send(t, conn, "GET /2 HTTP/1.1\r\n")
+	for received.Load() < int64(len(getRequest("/1")+"GET /2 HTTP/1.1\r\n")) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(limits.HeaderTimeout / 10)
+	close(release)
+	readResponse(t, r)
+	if resp, _ := readResponse(t, r); resp.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("status %d of a request whose header does not end, want 408", resp.StatusCode)
+	}
+}
+
+// TestIdleTimeoutServesRequestInSocket guards against discarding a request that
+// arrived before the idle timeout but was not read by then.
+func TestIdleTimeoutServesRequestInSocket(t *testing.T) {
+	limits := generousLimits
+	limits.IdleTimeout = 20 * time.Millisecond
+	s := newServer(limits, func(context.Context, *receiver.Request) *receiver.Response {
+		return okResponse("answered")
+	})
+	var once atomic.Bool
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn: conn,
+			beforeRead: func(conn *net.TCPConn) {
+				if once.CompareAndSwap(false, true) {
+					awaitData(t, conn)
+					time.Sleep(5 * limits.IdleTimeout)
+				}
+			},
+		}
+	})
+	conn, r := dial(t, address)
+	send(t, conn, getRequest("/"))
+	if resp, body := readResponse(t, r); resp.StatusCode != http.StatusOK || body != "answered" {
+		t.Errorf("status %d, response %q, want 200 and \"answered\"", resp.StatusCode, body)
+	}
+}
+
+// TestStopAnswersRequestThatTheReaderHasTaken guards against dropping a request whose
+// first bytes have been read when Stop is called.
+func TestStopAnswersRequestThatTheReaderHasTaken(t *testing.T) {
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
+		return okResponse("")
+	})
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn: conn,
+			afterRead: func(n int) {
+				if n > 0 {
+					s.Stop()
+				}
+			},
+		}
+	})
+	conn, r := dial(t, address)
+	send(t, conn, getRequest("/"))
+	resp, _ := readResponse(t, r)
+	checkRejection(t, resp)
+}
+
+// TestStopAnswersRequestInSocket guards against closing a connection on which a
+// request has arrived that has not been read.
+func TestStopAnswersRequestInSocket(t *testing.T) {
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
+		return okResponse("")
+	})
+	stopped := make(chan struct{})
+	var once atomic.Bool
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn: conn,
+			beforeRead: func(conn *net.TCPConn) {
+				if once.CompareAndSwap(false, true) {
+					awaitData(t, conn)
+					s.Stop()
+					close(stopped)
+				}
+			},
+		}
+	})
+	conn, r := dial(t, address)
+	send(t, conn, getRequest("/"))
+	<-stopped
+	resp, _ := readResponse(t, r)
+	checkRejection(t, resp)
+}
+
+// TestStopAnswersPipelinedRequest guards against dropping a request that arrives after
+// Stop while another is in flight on its connection.
+func TestStopAnswersPipelinedRequest(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
+		close(entered)
+		<-release
+		return okResponse("answered")
+	})
+	var received atomic.Int64
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn:   conn,
+			afterRead: func(n int) { received.Add(int64(n)) },
+		}
+	})
+	conn, r := dial(t, address)
+	send(t, conn, getRequest("/1"))
+	<-entered
+	s.Stop()
+	send(t, conn, getRequest("/2"))
+	for received.Load() < int64(2*len(getRequest("/1"))) {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	if resp, body := readResponse(t, r); body != "answered" || resp.Close {
+		t.Errorf("request in flight: response %q, closed %v, want \"answered\" and false", body, resp.Close)
+	}
+	resp, _ := readResponse(t, r)
+	checkRejection(t, resp)
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -7,8 +7,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,11 +54,16 @@
 	Handle func(ctx context.Context, r *Request) *Response
 	// Limits returns the current limits.
 	Limits func() Limits
-	// OnRejected is called for each request that could not be read, with the status
-	// of the response.
-	OnRejected func(status int, err error)
+	// OnRejected is called for each request that is not handled, with the status of
+	// the response. r is nil if the request could not be read.
+	OnRejected func(r *Request, status int, err error)
+	// OnUnanswered is called for each connection that ended without a response to a
+	// request.
+	OnUnanswered func(e Ending)
 
-	draining, stopped atomic.Bool
+	// drainStart is the time of the first call of Drain, or nil before it.
+	drainStart atomic.Pointer[time.Time]
+	stopped    atomic.Bool
 
 	mu          sync.Mutex
 	listeners   map[net.Listener]bool
@@ -96,24 +103,51 @@
 
 // Drain starts a graceful shutdown: the server closes a connection after a response
 // if no other response is pending on it.
-func (s *Server) Drain() { s.draining.Store(true) }
+func (s *Server) Drain() {
+	now := time.Now()
+	s.drainStart.CompareAndSwap(nil, &now)
+}
+
+func (s *Server) draining() bool { return s.drainStart.Load() != nil }
 
-// BusyConnections returns the number of connections with a pending response.
+// BusyConnections returns the number of connections on which a request or a
+// response is under way.
 func (s *Server) BusyConnections() int {
+	_, busy := s.Connections()
+	return busy
+}
+
+// Connections returns the number of open connections, and of the busy ones among
+// them.
+func (s *Server) Connections() (open, busy int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	busy := 0
 	for c := range s.connections {
-		if c.pending() > 0 {
+		if c.busy() {
 			busy++
 		}
 	}
-	return busy
+	return len(s.connections), busy
+}
+
+// ReportOpen calls OnUnanswered for the connections whose requests the end of the
+// process leaves without a response.
+func (s *Server) ReportOpen() {
+	s.mu.Lock()
+	open := slices.Collect(maps.Keys(s.connections))
+	s.mu.Unlock()
+	for _, c := range open {
+		c.end(reasonExit, nil)
+		c.report()
+	}
 }
 
 // Stop closes the listeners and the idle connections. Requests that are in flight
-// or being read get their responses. No further requests are read.
+// or being read get their responses. Requests that have arrived without being read, or
+// arrive while a connection is still open, are rejected, and their connections closed.
+// Connections counts those that have not ended.
 func (s *Server) Stop() {
+	s.Drain()
 	s.stopped.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,9 +155,7 @@
 		_ = ln.Close()
 	}
 	for c := range s.connections {
-		if c.pending() == 0 {
-			_ = c.conn.Close()
-		}
+		c.setIdleDeadline()
 	}
 }
 
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -11,7 +11,9 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
+	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 )
 
 // setLevel sets the minimum level of log messages. An invalid level means info.
@@ -49,16 +51,44 @@
 		"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "took", r.Duration, "err", r.Err)
 }
 
-// observeUnreadRequest counts and logs a request that could not be read.
-func (d *Daemon) observeUnreadRequest(status int, err error) {
+// observeRejectedRequest counts and logs a request that could not be read, or that was
+// rejected because the daemon stops. r is nil if it could not be read.
+func (d *Daemon) observeRejectedRequest(r *receiver.Request, status int, err error) {
+	if r != nil {
+		d.incrementCounter("request.stopped")
+		client, _ := d.platform.Client(r.Header)
+		d.log.Info("request rejected", "request", client.ID, "status", status, "err", err)
+		return
+	}
 	d.incrementCounter("request.unread")
 	d.log.Warn("request not read", "status", status, "err", err)
 }
 
+// observeUnanswered counts and logs a connection that ended without a response. A
+// client that leaves is usual; every other reason is a fault or a stop.
+func (d *Daemon) observeUnanswered(e receiver.Ending) {
+	d.incrementCounter("connection.unanswered")
+	level := log.WarnLevel
+	if e.ClientGone() {
+		d.incrementCounter("connection.left")
+		level = log.InfoLevel
+	}
+	var ids []string
+	for _, r := range e.Requests {
+		client, _ := d.platform.Client(r.Header)
+		ids = append(ids, client.ID)
+	}
+	d.log.Log(level, "connection ended without a response", "reason", e.Reason, "requests", ids, "pending", e.Pending, "reading", e.Reading,
+		"discarded", e.Discarded, "sinceread", e.SinceRead, "sincestop", e.SinceDrain, "err", e.Err)
+}
+
 // observeAttempt counts and logs the result of an attempt at the local target.
 func (d *Daemon) observeAttempt(a *carrier.Attempt, r deliverer.Result) {
 	d.time("order", r.Duration)
 	d.judgeAttempt(a, r)
+	if forwarder.IsTooLong(r.Err) {
+		d.incrementCounter("order.overlong")
+	}
 	if r.TargetFailed() {
 		d.incrementCounter("order.failed")
 		d.log.Warn("target failed a request", "request", a.ID, "rule", a.Rule, "target", a.Instance, "version", a.Version,
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -1,6 +1,11 @@
 package sidecar
 
-import "time"
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
 
 // Timing of a graceful shutdown.
 const (
@@ -23,9 +28,10 @@
 )
 
 // shutdown stops the daemon gracefully. It reports not ready, keeps serving while
-// clients move to other daemons, then admits no further attempts at the local target,
-// and returns once no request is in flight or the grace period is nearly over. New
-// client requests are refused once the time left is shorter than the longest timeout.
+// clients move to other daemons, then admits no further attempts at the local target.
+// It closes the connections of clients once no request is in flight, or once the time
+// left is shorter than the longest timeout, and returns when they have ended or the grace
+// period is nearly over.
 func (d *Daemon) shutdown() {
 	startTime := d.clock.Now()
 	deadline := startTime.Add(d.sidecar.GracePeriod.Duration - killMargin)
@@ -36,22 +42,41 @@
 	d.leave()
 	stopTime := deadline.Add(-d.longestTimeout())
 	var idleSince time.Time
+	stopped := false
 	for now := d.clock.Now(); now.Before(deadline); now = d.clock.Now() {
 		switch {
-		case d.receiver.BusyConnections() > 0 || d.gate.Running() > 0:
+		case d.receiver.BusyConnections() > 0 || d.servesAttempts():
 			idleSince = time.Time{}
 		case idleSince.IsZero():
 			idleSince = now
 		case now.Sub(idleSince) > idleTime:
-			d.receiver.Stop()
-			return
+			stopTime = now
 		}
-		if now.After(stopTime) {
-			d.receiver.Stop()
+		if !now.Before(stopTime) && !stopped {
+			d.stopReceiver()
+			stopped = true
+		}
+		if open, _ := d.receiver.Connections(); stopped && open == 0 && !d.servesAttempts() {
+			return
 		}
 		time.Sleep(shutdownPollInterval)
 	}
-	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running())
+	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running(), "peers", d.attemptConnections.count())
+	d.receiver.ReportOpen()
+}
+
+// servesAttempts reports whether an attempt runs at the local target, or another daemon
+// does not have its response yet.
+func (d *Daemon) servesAttempts() bool {
+	return d.gate.Running() > 0 || d.attemptConnections.count() > 0
+}
+
+// stopReceiver stops the server of client connections, and logs the connections that
+// are open.
+func (d *Daemon) stopReceiver() {
+	open, busy := d.receiver.Connections()
+	d.log.Info("closing client connections", "connections", open, "busy", busy, "idle", open-busy)
+	d.receiver.Stop()
 }
 
 // longestTimeout returns the longest timeout of the plan's rules.
@@ -62,3 +87,30 @@
 	}
 	return p.LongestTimeout()
 }
+
+// busyConnections counts the connections of an HTTP server on which a request has
+// begun and its response has not been written.
+type busyConnections struct {
+	mu          sync.Mutex
+	connections map[net.Conn]bool
+}
+
+// update is the ConnState function of the server.
+func (b *busyConnections) update(conn net.Conn, state http.ConnState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if state != http.StateActive {
+		delete(b.connections, conn)
+		return
+	}
+	if b.connections == nil {
+		b.connections = map[net.Conn]bool{}
+	}
+	b.connections[conn] = true
+}
+
+func (b *busyConnections) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.connections)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -182,8 +182,10 @@
 	dependencies sync.Map
 	// memberCallSem limits the membership calls in progress.
 	memberCallSem chan struct{}
-	// attemptServer handles attempts that other daemons forward to the target.
-	attemptServer *carrier.Server
+	// attemptServer handles attempts that other daemons forward to the target, and
+	// attemptConnections counts the connections on which it does.
+	attemptServer      *carrier.Server
+	attemptConnections busyConnections
 }
 
 // Limits of connections, calls and memory.
@@ -201,13 +203,22 @@
 	// close theirs after ten seconds.
 	peerIdleTimeout   = 20 * time.Second
 	targetIdleTimeout = 7 * time.Second
+	// maxTargetHead bounds the head of a target's response, in bytes.
+	maxTargetHead = 64 << 10
 	// controlTimeout bounds a remote call between daemons.
 	controlTimeout = time.Second
+	// callReadTimeout bounds the time to read a report of the target or a call of the
+	// platform.
+	callReadTimeout = 5 * time.Second
 	// maxMemberCalls bounds the membership calls in progress.
 	maxMemberCalls = 64
 	// bodyMemoryShare is the share of the memory limit that buffered client bodies
 	// may use.
 	bodyMemoryShare = 0.25
+	// responseMemoryShare is the share that the bodies of the target's responses may
+	// use, and peerResponseMemoryShare that of responses from other daemons.
+	responseMemoryShare     = 0.125
+	peerResponseMemoryShare = 0.25
 )
 
 // New returns a daemon that has not been started.
@@ -282,6 +293,7 @@
 			Dial:           peerDialTimeout,
 			Idle:           peerIdleTimeout,
 		}),
+		Memory:      d.newMemory(peerResponseMemoryShare),
 		OnSilent:    d.markUnreachable,
 		KeepWaiting: d.stopping.Load,
 	}
@@ -301,7 +313,8 @@
 	return &receiver.Server{
 		Handle:           dispatch.Handle,
 		Limits:           d.limits,
-		OnRejected:       d.observeUnreadRequest,
+		OnRejected:       d.observeRejectedRequest,
+		OnUnanswered:     d.observeUnanswered,
 		MaxBufferedBytes: int64(bodyMemoryShare * float64(d.sidecar.MemoryMiB<<20)),
 	}
 }
@@ -313,10 +326,12 @@
 		Target: d.sidecar.Target,
 		Gate:   d.gate,
 		Transport: forwarder.NewTransportWith(forwarder.TransportOptions{
-			MaxConnections: targetConnections,
-			Dial:           targetDialTimeout,
-			Idle:           targetIdleTimeout,
+			MaxConnections:  targetConnections,
+			Dial:            targetDialTimeout,
+			Idle:            targetIdleTimeout,
+			MaxResponseHead: maxTargetHead,
 		}),
+		Memory:        d.newMemory(responseMemoryShare),
 		Codec:         d.platform.Codec,
 		Clock:         d.clock,
 		BeforeForward: d.checkQuarantine,
@@ -331,6 +346,11 @@
 	return deliver
 }
 
+// newMemory returns a share of the process's memory limit.
+func (d *Daemon) newMemory(share float64) *carrier.Memory {
+	return &carrier.Memory{Limit: int64(share * float64(d.sidecar.MemoryMiB<<20))}
+}
+
 // defaultLimits apply while no plan is known.
 var defaultLimits = receiver.Limits{
 	HeaderBytes:   16 << 10,
@@ -356,12 +376,15 @@
 	defer group.Wait()
 	defer stop()
 	listeners := map[string]func(context.Context, net.Listener) error{
-		d.settings.Listen.Traffic:  d.receiver.Serve,
-		d.settings.Listen.Admit:    serveHTTP(d.attemptServer),
+		d.settings.Listen.Traffic: d.receiver.Serve,
+		d.settings.Listen.Admit: serveHTTP(&http.Server{
+			Handler:   d.attemptServer,
+			ConnState: d.attemptConnections.update,
+		}),
 		d.settings.Listen.Control:  d.control.Serve,
-		d.settings.Listen.Operator: serveHTTP(http.HandlerFunc(d.serveReport)),
-		d.sidecar.Ready:            serveHTTP(http.HandlerFunc(d.serveReady)),
-		d.sidecar.Metrics:          serveHTTP(http.HandlerFunc(d.serveMetrics)),
+		d.settings.Listen.Operator: serveCalls(d.serveReport),
+		d.sidecar.Ready:            serveCalls(d.serveReady),
+		d.sidecar.Metrics:          serveCalls(d.serveMetrics),
 	}
 	failed := make(chan error, len(listeners))
 	for address, serve := range listeners {
@@ -385,20 +408,26 @@
 	case <-ctx.Done():
 	}
 	d.shutdown()
-	d.log.Info("daemon stopped")
+	open, busy := d.receiver.Connections()
+	d.log.Info("daemon stopped", "connections", open, "busy", busy, "running", d.gate.Running(), "peers", d.attemptConnections.count())
 	return nil
 }
 
-// serveHTTP returns a function that serves HTTP with a handler until its context
-// ends.
-func serveHTTP(h http.Handler) func(context.Context, net.Listener) error {
+// serveCalls returns a function that serves the target's or the platform's calls with
+// a handler until its context ends.
+func serveCalls(h http.HandlerFunc) func(context.Context, net.Listener) error {
+	return serveHTTP(&http.Server{
+		Handler:     h,
+		ReadTimeout: callReadTimeout,
+	})
+}
+
+// serveHTTP returns a function that runs an HTTP server until its context ends.
+func serveHTTP(srv *http.Server) func(context.Context, net.Listener) error {
+	srv.ReadHeaderTimeout = 5 * time.Second
+	srv.IdleTimeout = time.Minute
+	srv.ConnContext = forwarder.WithConn
 	return func(ctx context.Context, ln net.Listener) error {
-		srv := &http.Server{
-			Handler:           h,
-			ReadHeaderTimeout: 5 * time.Second,
-			IdleTimeout:       time.Minute,
-			ConnContext:       forwarder.WithConn,
-		}
 		context.AfterFunc(ctx, func() { _ = srv.Close() })
 		if err := srv.Serve(ln); err != http.ErrServerClosed {
 			return err
--- a/internal/soaker/events.go
+++ b/internal/soaker/events.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,7 +14,8 @@
 const (
 	// Kill, Pause, Stop and Reload send a signal to a daemon: SIGKILL, SIGSTOP,
 	// SIGTERM or SIGHUP. After the event's length, a daemon that was killed or
-	// stopped is started again, and a paused one resumes.
+	// stopped is started again, and a paused one resumes. A Stop may pause the daemon
+	// during its graceful shutdown.
 	Kill   Kind = "kill"
 	Pause  Kind = "pause"
 	Stop   Kind = "stop"
@@ -38,15 +40,18 @@
 	StoreRevokeLeases  Kind = "store revokes all leases"
 	StorePauseLeases   Kind = "store stops expiring leases"
 	StoreCompact       Kind = "store compacts its history"
-	// Crash, Drain, Slow, Fail, LoseResponses and Shed are faults and state changes
-	// of a target. LoseResponses closes connections in place of a response, and Shed
-	// rejects requests with status 503.
+	// Crash, Drain, Slow, Fail, LoseResponses, Shed, EndlessHeads and EndlessBodies
+	// are faults and state changes of a target. LoseResponses closes connections in
+	// place of a response, and Shed rejects requests with status 503. The responses
+	// of the last two do not end.
 	Crash         Kind = "target crashes"
 	Drain         Kind = "target drains"
 	Slow          Kind = "target slow"
 	Fail          Kind = "target fails requests"
 	LoseResponses Kind = "target loses responses"
 	Shed          Kind = "target sheds load"
+	EndlessHeads  Kind = "target sends heads without end"
+	EndlessBodies Kind = "target sends bodies without end"
 	// Declare, Evacuate and Move are changes that an operator makes: a new
 	// configuration, the evacuation of a zone for the event's length, and the
 	// move of the main service to another version.
@@ -84,6 +89,14 @@
 	Hop Hop
 	// Bad makes a move's new version fail requests.
 	Bad bool
+	// Pauses are the pauses of a daemon during its graceful shutdown, for Stop.
+	Pauses []ShutdownPause
+}
+
+// ShutdownPause is a pause of a daemon that is shutting down. After is the time
+// from SIGTERM, or from the end of the previous pause, to the start of this one.
+type ShutdownPause struct {
+	After, Length time.Duration
 }
 
 // weights are the relative frequencies of the kinds.
@@ -122,6 +135,8 @@
 const (
 	// meanEventGap is the mean time between two events.
 	meanEventGap = 400 * time.Millisecond
+	// meanEndlessGap is the mean time between two events of the endless kinds.
+	meanEndlessGap = 8 * time.Second
 	// minEventLength and maxEventLength are the limits of an event's length.
 	minEventLength = 100 * time.Millisecond
 	maxEventLength = 3 * time.Second
@@ -133,12 +148,22 @@
 	// sameNodeProbability is the probability that an event affects the node of the
 	// previous event.
 	sameNodeProbability = 0.3
+	// pausedStopProbability is the probability that a daemon is paused during its
+	// graceful shutdown, again and again for at most shutdownPausePeriod.
+	pausedStopProbability = 0.5
+	shutdownPausePeriod   = 5 * time.Second
+	// minShutdownPause and maxShutdownPause are the limits of the length of such a
+	// pause, and maxShutdownRun of the time to the next one.
+	minShutdownPause = 100 * time.Millisecond
+	maxShutdownPause = 600 * time.Millisecond
+	maxShutdownRun   = time.Second
 )
 
 // GenerateEvents returns the events of a soak in order of their time. The same seed
 // gives the same events.
 func GenerateEvents(seed uint64, nodes int, length time.Duration) []Event {
 	random := rand.New(rand.NewPCG(seed, 0))
+	pauseRandom := rand.New(rand.NewPCG(seed, 1))
 	total := 0
 	for _, w := range weights {
 		total += w.weight
@@ -167,14 +192,52 @@
 			continue
 		case e.Kind == Move:
 			hasMove = true
+		case e.Kind == Stop && pauseRandom.Float64() < pausedStopProbability:
+			e.Pauses = generateShutdownPauses(pauseRandom)
 		case slices.Contains([]Kind{StoreUnresponsive, StoreRefuse, StoreSlow, StoreLoseResponses, StorePauseLeases}, e.Kind):
 			e.Length = minEventLength + time.Duration(random.Float64()*float64(maxStoreFaultLength-minEventLength))
 		}
 		events = append(events, e)
 	}
+	events = append(events, generateEndless(seed, nodes, length)...)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
 
+// generateShutdownPauses returns the pauses of one graceful shutdown.
+func generateShutdownPauses(random *rand.Rand) []ShutdownPause {
+	var pauses []ShutdownPause
+	for total := time.Duration(0); ; {
+		p := ShutdownPause{
+			After:  time.Duration(random.Float64() * float64(maxShutdownRun)),
+			Length: minShutdownPause + time.Duration(random.Float64()*float64(maxShutdownPause-minShutdownPause)),
+		}
+		if total += p.After + p.Length; total > shutdownPausePeriod {
+			return pauses
+		}
+		pauses = append(pauses, p)
+	}
+}
+
+// generateEndless returns the events of the endless kinds. They have a random source
+// of their own, so that the other events of a seed do not depend on them.
+func generateEndless(seed uint64, nodes int, length time.Duration) []Event {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var events []Event
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * float64(meanEndlessGap))
+		if at >= length {
+			return events
+		}
+		events = append(events, Event{
+			At:     at,
+			Length: minEventLength + time.Duration(random.Float64()*float64(maxEventLength-minEventLength)),
+			Node:   random.IntN(nodes),
+			Kind:   []Kind{EndlessHeads, EndlessBodies}[random.IntN(2)],
+		})
+	}
+}
+
 // pickKind returns the kind at index n when each kind is repeated by its weight.
 func pickKind(n int) Kind {
 	for _, w := range weights {
--- a/internal/soaker/node.go
+++ b/internal/soaker/node.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -190,6 +192,12 @@
 	}
 	f.LoseAnswer = n.activeFaults[LoseResponses] > 0
 	f.Shed = n.activeFaults[Shed] > 0
+	switch {
+	case n.activeFaults[EndlessHeads] > 0:
+		f.Endless = emulator.EndlessHead
+	case n.activeFaults[EndlessBodies] > 0:
+		f.Endless = emulator.EndlessBody
+	}
 	n.backend.SetFaults(f)
 }
 
@@ -232,6 +240,10 @@
 const (
 	// thinkTime is the mean time between a response and the client's next request.
 	thinkTime = 40 * time.Millisecond
+	// rareThinkTime is that of the rare clients, and rareClientStream their first
+	// stream of random numbers.
+	rareThinkTime    = 3 * time.Second
+	rareClientStream = 1 << 16
 	// clientTimeout is the timeout that a client sends with a request. The
 	// client waits for the response for abortTimeout and then aborts the request.
 	clientTimeout = time.Second
@@ -256,8 +268,9 @@
 	{prefix: "/p/", nonIdempotent: true, body: maxBodyBytes},
 }
 
-// generateLoad sends requests of one client to the daemon until ctx is done.
-func (n *node) generateLoad(ctx context.Context, client string, random *rand.Rand) {
+// generateLoad sends requests of one client to the daemon until ctx is done. The
+// mean time between a response and the next request is thinkTime.
+func (n *node) generateLoad(ctx context.Context, client string, thinkTime time.Duration, random *rand.Rand) {
 	c := emulator.NewClient(n.settings.Listen.Traffic)
 	defer c.Close()
 	for i := 0; ctx.Err() == nil; i++ {
@@ -291,8 +304,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
+	// The transport may still be writing when Do has returned.
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) { written.Store(info.Err == nil) },
+	})
 	req.Reply, req.Err = c.Do(ctx, req.Call)
 	req.Ended = time.Now()
+	req.Written = written.Load()
 	req.Excused = n.process.excusesFailure(req.Sent, req.Ended, errors.Is(req.Err, syscall.ECONNREFUSED))
 	req.DaemonStopping = n.process.stopping()
 	if req.Err != nil && !req.Excused {
