--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -82,14 +82,16 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn, maxHead: maxHead}, nil
+			return &countingConn{
+				Conn:    conn,
+				maxHead: maxHead,
+			}, nil
 		},
-		DisableCompression:    true,
-		MaxIdleConnsPerHost:   o.MaxConnections,
-		MaxConnsPerHost:       o.MaxConnections,
-		IdleConnTimeout:       o.Idle,
-		ExpectContinueTimeout: maxTimeout,
-
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    o.MaxConnections,
+		MaxConnsPerHost:        o.MaxConnections,
+		IdleConnTimeout:        o.Idle,
+		ExpectContinueTimeout:  maxTimeout,
 		MaxResponseHeaderBytes: maxHead,
 	}
 }
--- a/internal/receiver/ending.go
+++ b/internal/receiver/ending.go
@@ -24,7 +24,7 @@
 // ClientGone reports whether the client has closed the connection.
 func (e Ending) ClientGone() bool { return e.Reason == reasonClientGone }
 
-// Reasons for the end of a connection.
+// Reasons for the end of a connection. reasonLast is used if there is no other.
 const (
 	reasonClientGone  = "client gone"
 	reasonIdle        = "idle timeout"
