--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
@@ -39,12 +40,24 @@
 	// reportedErr is the error to report: the first one whose verdict is not
 	// NotRun, or else the latest one.
 	reportedErr error
+	// retryReserved is set when a retry has been taken from the budget before the
+	// attempt that it follows was cancelled.
+	retryReserved atomic.Bool
+	// retryPaid means that a retry has been taken from the budget for an attempt that
+	// has not reached a target.
+	retryPaid bool
 	// failedResponse is a target's response with a 5xx status.
 	failedResponse *carrier.TargetResponse
 	// responses holds the responses whose memory has not been released.
 	responses []*carrier.TargetResponse
 }
 
+// recordDelivery records that an attempt may have reached a target.
+func (c *call) recordDelivery() {
+	c.deliveries++
+	c.retryPaid = false
+}
+
 // release releases the memory of all responses.
 func (c *call) release() {
 	for _, r := range c.responses {
@@ -81,6 +94,7 @@
 		Deadline:  c.deadline,
 		Objective: r.Began.Add(c.rule.Objective),
 		MaxWait:   queueTimeout,
+		MayGiveUp: d.mayGiveUp(c),
 		Method:    r.Method,
 		URI:       uri,
 		Host:      r.Host,
@@ -96,37 +110,64 @@
 		return false
 	}
 	c.failedResponse = resp
-	return d.reserveRetry(c, ranCost)
+	c.retryPaid = d.reserveRetry(c, c.deliveries, ranCost)
+	return c.retryPaid
+}
+
+// mayGiveUp returns the function that decides whether the next attempt may be cancelled
+// because its daemon is silent: only if the request will be retried. It takes the retry
+// from the budget.
+func (d *Dispatcher) mayGiveUp(c *call) func(classifier.Verdict) bool {
+	deliveries := c.deliveries
+	return func(v classifier.Verdict) bool {
+		switch {
+		case v == classifier.NotRun && deliveries == 0:
+			return true
+		case v == classifier.NotRun:
+			c.retryReserved.Store(d.reserveRetry(c, deliveries, notRunCost))
+		case c.rule.Kind == matcher.Idempotent:
+			c.retryReserved.Store(d.reserveRetry(c, deliveries+1, ranCost))
+		}
+		return c.retryReserved.Load()
+	}
 }
 
 // shouldRetryError reports whether a request without a response may be sent
 // again. If so, and if an attempt may have reached a target, it takes the retry
-// from the budget.
+// from the budget. A retry that has not reached a daemon is not paid again.
 func (d *Dispatcher) shouldRetryError(c *call, err error) bool {
-	if classifier.VerdictOf(err) != classifier.NotRun && c.rule.Kind != matcher.Idempotent {
+	f := carrier.NewFailure(err)
+	if f.Verdict != classifier.NotRun && c.rule.Kind != matcher.Idempotent {
 		return false
 	}
 	switch {
+	case c.retryReserved.Swap(false):
+		c.retryPaid = true
 	case c.deliveries == 0:
 		return true
-	case classifier.VerdictOf(err) == classifier.NotRun:
-		return d.reserveRetry(c, notRunCost)
+	case c.retryPaid && f.Verdict == classifier.NotRun && !f.Reported && !f.Arrived:
+		return d.hasTimeForRetry(c)
+	case f.Verdict == classifier.NotRun:
+		c.retryPaid = d.reserveRetry(c, c.deliveries, notRunCost)
 	default:
-		return d.reserveRetry(c, ranCost)
+		c.retryPaid = d.reserveRetry(c, c.deliveries, ranCost)
 	}
+	return c.retryPaid
 }
 
 // reserveRetry takes a retry from the budget and reports whether it could. A
 // request that has reached MaxAttempts deliveries or has too little time left
 // gets none.
-func (d *Dispatcher) reserveRetry(c *call, cost float64) bool {
-	if c.deliveries >= c.rule.MaxAttempts {
-		return false
-	}
-	if d.Clock.Now().Add(d.Chooser.MeanServiceTime(c.rule.Name) / 2).After(c.deadline) {
+func (d *Dispatcher) reserveRetry(c *call, deliveries int, cost float64) bool {
+	if deliveries >= c.rule.MaxAttempts {
 		return false
 	}
-	return d.RetryBudget.TryWithdraw(c.service, cost)
+	return d.hasTimeForRetry(c) && d.RetryBudget.TryWithdraw(c.service, cost)
+}
+
+// hasTimeForRetry reports whether a retry could end before the deadline.
+func (d *Dispatcher) hasTimeForRetry(c *call) bool {
+	return !d.Clock.Now().Add(d.Chooser.MeanServiceTime(c.rule.Name) / 2).After(c.deadline)
 }
 
 // recordError updates and returns the error to report for the request.
