server: record and remove the target under one lock

After the freeze a heartbeat that stood in the socket and the check for silence ran at the same time. Removal takes the target from local first and announces that to the members last; the heartbeat came in between, found no target, and announced one, which the removal then withdrew. From then on local had the target, so further heartbeats changed nothing, and the members never heard of it.

Both now run under a mutex, and the age of the last heartbeat is looked at under it.

--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -89,7 +89,10 @@
 	tableState *applier.State
 	state      atomic.Pointer[applier.State]
 	view       atomic.Pointer[forwarder.View]
-	local      atomic.Pointer[announcedTarget]
+	// targetMu is held while the target is announced or removed, so that what the
+	// members know agrees with local.
+	targetMu sync.Mutex
+	local    atomic.Pointer[announcedTarget]
 	// formerTarget is the target that was removed last. If the target returns,
 	// its limiter is reused, so that requests still running there are counted.
 	formerTarget atomic.Pointer[announcedTarget]
--- a/internal/server/target.go
+++ b/internal/server/target.go
@@ -72,6 +72,8 @@
 // daemons if it has changed. A target that returns with the same service,
 // version and address keeps its limiter.
 func (d *Daemon) recordHeartbeat(a Announcement) {
+	d.targetMu.Lock()
+	defer d.targetMu.Unlock()
 	old := d.local.Load()
 	next := &announcedTarget{
 		Announcement: a,
@@ -137,6 +139,22 @@
 // removeTarget removes the target and announces its removal to the other
 // members. It does nothing if there is no target.
 func (d *Daemon) removeTarget(reason string) {
+	d.targetMu.Lock()
+	defer d.targetMu.Unlock()
+	d.removeTargetLocked(reason)
+}
+
+// expireTarget removes the target if it has sent no heartbeat for heartbeatTimeout.
+func (d *Daemon) expireTarget() {
+	d.targetMu.Lock()
+	defer d.targetMu.Unlock()
+	if a := d.local.Load(); a != nil && d.clock.Now().Sub(a.lastSeen) > heartbeatTimeout {
+		d.removeTargetLocked("no heartbeat")
+	}
+}
+
+// removeTargetLocked is removeTarget for callers that hold targetMu.
+func (d *Daemon) removeTargetLocked(reason string) {
 	old := d.local.Swap(nil)
 	if old == nil {
 		return
@@ -151,9 +169,7 @@
 func (d *Daemon) watchTarget(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, HeartbeatPeriod)
-		if a := d.local.Load(); a != nil && d.clock.Now().Sub(a.lastSeen) > heartbeatTimeout {
-			d.removeTarget("no heartbeat")
-		}
+		d.expireTarget()
 	}
 	return nil
 }
