shifter: complete a rollout only after its version was tried

From then on half of all requests to the service fail, which is also why the daemons "don't recover": the targets of the old version get no requests any more.

Cause: the share of a version and its completion depended on the time since the daemon received the rollout, and on nothing else but a target in the view at that moment. Time in which no request could reach the version counted as if it had passed a test. The share was wrong too: it was 1 at once after the evacuation.

Class: the absence of failures is taken for success without a look at whether anything was tried.

Change: a trial (shifter.Trial) measures the time in which the version had targets that could get requests; shares rise with it. A rollout without traffic stays running. The line "outcome written" has the time and the counts.

Ruled out: a daemon that writes while it stops (its view is current until it leaves), and one that has just started (its time starts at zero, before and now).

TestUntestedVersionIsNotCompleted failed before: "completed a second after the evacuation of all its targets", share 1 instead of 0.03, and "completed without a response". Tests of shifter and sidecar pass with -race.

--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -2,8 +2,9 @@
 // rollout. The share is small at first and rises in steps to all requests, unless
 // the version is found bad.
 //
-// The package does no I/O. Every daemon computes the share from the
-// time at which it received the rollout, and counts its own target's responses.
+// The package does no I/O. Every daemon computes the share from the time for which it
+// has known targets of the version that can get requests, and counts its own target's
+// responses.
 package shifter
 
 import (
@@ -71,7 +72,7 @@
 var rampShares = []float64{0.06, 0.15, 0.3}
 
 // Share returns the share of the requests, 0 to 1, that goes to the new version
-// when the given time has elapsed since the rollout was received.
+// when its trial has lasted for the given time.
 func (r Rollout) Share(elapsed time.Duration) float64 {
 	firstStepEnd := time.Duration(firstStepFraction * float64(r.Period))
 	rampStepTime := time.Duration(rampFraction * float64(r.Period) / float64(len(rampShares)))
@@ -85,8 +86,7 @@
 	}
 }
 
-// CompletionTime returns the time from the receipt of a rollout to its
-// completion, if the version is not bad.
+// CompletionTime returns the time that a trial takes at least.
 func (r Rollout) CompletionTime() time.Duration {
 	return time.Duration((firstStepFraction+rampFraction)*float64(r.Period)) + settleDelay
 }
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
-	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 	"github.com/coltsfootlane/coltsfootlane/internal/ranker"
@@ -74,9 +73,8 @@
 	d.publishTarget(&next)
 }
 
-// versionFailing reports whether all targets of a rollout's version together have
-// failed too many requests.
-func (d *Daemon) versionFailing(r shifter.Rollout, members []prober.Member, targets []chooser.Target) bool {
+// resultsOf returns the results of all targets of a rollout's version together.
+func resultsOf(r shifter.Rollout, members []prober.Member) shifter.Totals {
 	var pool shifter.Totals
 	for _, m := range members {
 		if m.Target.Version == r.Version {
@@ -84,7 +82,7 @@
 			pool.Failures += m.Target.Failures
 		}
 	}
-	return pool.Bad(d.chooser.FaultRate(targets))
+	return pool
 }
 
 // withdrawal is the message that reports that a rollout's version was found bad.
@@ -166,7 +164,7 @@
 				continue
 			}
 			if next, ok := d.nextOutcome(service, s); ok {
-				d.writeOutcome(ctx, next, waitingSince)
+				d.writeOutcome(ctx, next, s, waitingSince)
 			}
 		}
 	}
@@ -190,7 +188,7 @@
 	switch {
 	case s.withdrawn:
 		next.State = shifter.RolledBack
-	case d.clock.Now().Sub(s.received) >= s.rollout.CompletionTime() && len(s.canaries) > 0:
+	case len(s.canaries) > 0 && s.trial.Completes(*s.rollout, d.clock.Now(), s.results.Calls):
 		next.State = shifter.Completed
 	case recorded.BelongsTo(*s.rollout):
 		return shifter.Outcome{}, false
@@ -201,7 +199,7 @@
 // writeOutcome writes an outcome by compare-and-swap once this daemon's delay has
 // passed. The daemons are ranked, and each waits writerDelay longer than the one
 // before it. At most one write succeeds. The delay starts again after each attempt.
-func (d *Daemon) writeOutcome(ctx context.Context, o shifter.Outcome, waitingSince map[outcomeKey]time.Time) {
+func (d *Daemon) writeOutcome(ctx context.Context, o shifter.Outcome, s *serviceView, waitingSince map[outcomeKey]time.Time) {
 	outcomeID := outcomeKey{
 		service:      o.Service,
 		version:      o.Version,
@@ -225,7 +223,8 @@
 	revision, err := d.platform.Store.PutIf(ctx, key, value, o.Item.Version, "")
 	switch {
 	case err == nil:
-		d.log.Info("outcome written", "service", o.Service, "version", o.Version, "state", o.State, "revision", revision)
+		d.log.Info("outcome written", "service", o.Service, "version", o.Version, "state", o.State, "revision", revision,
+			"tried", s.trial.Elapsed(d.clock.Now()), "calls", s.results.Calls, "failures", s.results.Failures)
 	case errors.Is(err, storer.ErrConflict):
 		d.log.Info("outcome already written by another daemon", "service", o.Service, "version", o.Version)
 	default:
--- /dev/null
+++ b/internal/sidecar/moves_test.go
@@ -0,0 +1,119 @@
+package sidecar
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/loader"
+	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/prober"
+	"github.com/coltsfootlane/coltsfootlane/internal/shifter"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
+)
+
+// rollout is the rollout that the tests declare.
+var rollout = shifter.Rollout{
+	Service:  "renewal",
+	Version:  "v2",
+	Period:   16 * time.Second,
+	Revision: 7,
+}
+
+// rolloutDaemon is a daemon on a virtual clock that has received rollout. A target of
+// the old version is in zilina, and one of the new version in martin.
+type rolloutDaemon struct {
+	*Daemon
+	clock       *timekeeper.Virtual
+	incarnation uint64
+}
+
+func newRolloutDaemon() *rolloutDaemon {
+	clock := timekeeper.NewVirtual(time.Date(2026, time.March, 1, 0, 0, 0, 0, time.UTC))
+	d := &rolloutDaemon{
+		Daemon: New(Options{
+			Settings: loader.Settings{
+				Name:    "zilina-1",
+				DC:      "zilina",
+				Sidecar: &loader.Sidecar{Service: "renewal"},
+			},
+			Clock: clock,
+			Log:   log.New(io.Discard),
+		}),
+		clock: clock,
+	}
+	d.declare(false)
+	d.putTarget("zilina-2", "zilina", "v1", shifter.Totals{})
+	d.putTarget("martin-1", "martin", "v2", shifter.Totals{})
+	return d
+}
+
+// declare puts the rollout in force, and evacuates martin or ends its evacuation.
+func (d *rolloutDaemon) declare(martinEvacuated bool) {
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	d.applyDeclaration(Declaration{
+		Plan:      &matcher.Plan{Services: map[string]matcher.Service{"renewal": {}}},
+		Rollouts:  map[string]shifter.Rollout{"renewal": rollout},
+		Evacuated: map[string]bool{"martin": martinEvacuated},
+	})
+}
+
+// putTarget makes a member with a target known.
+func (d *rolloutDaemon) putTarget(id, dc, version string, results shifter.Totals) {
+	d.incarnation++
+	d.members.Merge(prober.Member{
+		ID:          id,
+		DC:          dc,
+		Incarnation: d.incarnation,
+		Target: &prober.Target{
+			Service:  "renewal",
+			Version:  version,
+			Slots:    4,
+			Instance: id,
+			Calls:    results.Calls,
+			Failures: results.Failures,
+		},
+	})
+	d.refresh()
+}
+
+// run advances the clock and rebuilds the view each second.
+func (d *rolloutDaemon) run(length time.Duration) {
+	for range length / time.Second {
+		d.clock.Advance(time.Second)
+		d.refresh()
+	}
+}
+
+// state returns the state that is to be written, and whether one is.
+func (d *rolloutDaemon) state() (shifter.State, bool) {
+	next, ok := d.nextOutcome("renewal", d.view.Load().services["renewal"])
+	return next.State, ok
+}
+
+// TestUntestedVersionIsNotCompleted guards against a completion after a period in which no
+// request could reach the version.
+func TestUntestedVersionIsNotCompleted(t *testing.T) {
+	d := newRolloutDaemon()
+	d.declare(true)
+	d.run(2 * rollout.Period)
+	d.declare(false)
+	d.run(time.Second)
+	if state, _ := d.state(); state == shifter.Completed {
+		t.Error("completed a second after the evacuation of all its targets, want running")
+	}
+	if share, first := d.pool("renewal").Share, rollout.Share(0); share != first {
+		t.Errorf("share = %v a second after the evacuation of all its targets, want %v", share, first)
+	}
+	d.run(rollout.Period)
+	if state, _ := d.state(); state == shifter.Completed {
+		t.Error("completed without a response, want running")
+	}
+	d.putTarget("martin-1", "martin", "v2", shifter.Totals{Calls: 500})
+	if state, ok := d.state(); !ok || state != shifter.Completed {
+		t.Errorf("state = %v, %v after 500 responses, want %v", state, ok, shifter.Completed)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -130,9 +130,8 @@
 	declared Declaration
 	// settled holds the recorded outcomes of rollouts, by service.
 	settled map[string]shifter.Outcome
-	// rolloutReceived is the time at which a rollout was first received, by the
-	// revision of its record.
-	rolloutReceived map[uint64]time.Time
+	// trials holds the trials of rollouts, by the revision of their records.
+	trials map[uint64]shifter.Trial
 	// baseline holds the version that serves each service's requests outside a
 	// rollout. badRollouts holds the rollouts whose version was found bad.
 	baseline    map[string]string
@@ -241,7 +240,7 @@
 		client:            linker.NewClient(s.Key, controlTimeout),
 		control:           linker.NewServer(s.Key),
 		chooser:           chooser.New(o.Clock),
-		rolloutReceived:   map[uint64]time.Time{},
+		trials:            map[uint64]shifter.Trial{},
 		baseline:          map[string]string{},
 		badRollouts:       map[shifter.Rollout]bool{},
 		endedProcesses:    map[targetProcess]bool{},
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -31,8 +31,9 @@
 	// canaries holds the targets of the rollout's version.
 	canaries []chooser.Target
 	rollout  *shifter.Rollout
-	// received is the time at which the daemon received the rollout.
-	received time.Time
+	// trial and results are those of the rollout's version.
+	trial   shifter.Trial
+	results shifter.Totals
 	// completed means that the rollout's version gets all requests, and withdrawn
 	// that it gets none.
 	completed, withdrawn bool
@@ -46,7 +47,7 @@
 	case s.completed:
 		return 1
 	default:
-		return s.rollout.Share(now.Sub(s.received))
+		return s.rollout.Share(s.trial.Elapsed(now))
 	}
 }
 
@@ -114,26 +115,31 @@
 	}
 	d.stateMu.Lock()
 	defer d.stateMu.Unlock()
+	d.applyDeclaration(declared)
+	var version uint64
+	if d.declared.Plan != nil {
+		version = d.declared.Plan.Version
+	}
+	d.log.Info("configuration in force", "plan", version, "revision", c.Revision, "out", declared.Evacuated)
+}
+
+// applyDeclaration puts a declaration in force, without a plan that is missing or older
+// than the one in force. The caller holds stateMu.
+func (d *Daemon) applyDeclaration(declared Declaration) {
 	previous := d.declared
 	if declared.Plan == nil || (previous.Plan != nil && declared.Plan.Version < previous.Plan.Version) {
 		declared.Plan = previous.Plan
 	}
 	d.declared = declared
-	now := d.clock.Now()
 	for _, r := range declared.Rollouts {
-		if _, recorded := d.rolloutReceived[r.Revision]; !recorded {
-			d.rolloutReceived[r.Revision] = now
+		if _, recorded := d.trials[r.Revision]; !recorded {
+			d.trials[r.Revision] = shifter.Trial{}
 			d.log.Info("move ordered", "service", r.Service, "version", r.Version, "period", r.Period, "revision", r.Revision)
 		}
 	}
 	if previous.Evacuated[d.settings.DC] && !declared.Evacuated[d.settings.DC] {
 		d.gate.SuspectCold()
 	}
-	var version uint64
-	if declared.Plan != nil {
-		version = declared.Plan.Version
-	}
-	d.log.Info("configuration in force", "plan", version, "revision", c.Revision, "out", declared.Evacuated)
 	d.rebuild()
 }
 
@@ -156,7 +162,7 @@
 const (
 	// refreshPeriod is the interval of rebuilding the view without a change of
 	// members, because the measured failure rate of the baseline's targets, with
-	// which versionFailing compares, changes too.
+	// which a rollout's version is compared, changes too.
 	refreshPeriod = time.Second
 	// minRefreshPause is the minimum pause after a refresh. refreshPauseFactor
 	// is the pause as a multiple of the refresh's duration. It limits refreshes to
@@ -226,7 +232,7 @@
 }
 
 // serviceView builds the state of one service: the state of its rollout, and its
-// targets by version. It records in badRollouts if a member has found the rollout's
+// targets by version. It continues the trial of the rollout's version. It records in badRollouts if a member has found the rollout's
 // version bad, and withdraws the version if its targets together fail too often.
 // Members in data centres that appear unreachable stay in the view, because only
 // requests show whether they are really unreachable.
@@ -234,7 +240,6 @@
 	s := &serviceView{}
 	if r, ok := d.declared.Rollouts[service]; ok {
 		s.rollout = &r
-		s.received = d.rolloutReceived[r.Revision]
 		outcome, recorded := d.settled[service]
 		settled := recorded && outcome.Ends(r)
 		s.completed = settled && outcome.State == shifter.Completed
@@ -260,7 +265,12 @@
 			s.targets = append(s.targets, t)
 		}
 	}
-	if s.rollout != nil && !s.completed && !s.withdrawn && d.versionFailing(*s.rollout, members, s.targets) {
+	if s.rollout != nil {
+		s.results = resultsOf(*s.rollout, members)
+		s.trial = d.trials[s.rollout.Revision].With(*s.rollout, d.clock.Now(), len(s.canaries) > 0, s.results.Calls)
+		d.trials[s.rollout.Revision] = s.trial
+	}
+	if s.rollout != nil && !s.completed && !s.withdrawn && s.results.Bad(d.chooser.FaultRate(s.targets)) {
 		s.withdrawn = true
 		d.log.Warn("version found bad by the results of all its targets", "service", service, "version", s.rollout.Version)
 		go d.withdraw(*s.rollout)
