shifter: fit the trial of a version into its rollout's period

With a period of 8 s a version whose targets start 1.5 s after the order completed after 8.2 s.

Cause: the trial begins with the version's first target, but its shares were spread over the whole period.

Change: shares and completion are those of a period that is shorter, so that the version completes when it would have if the trial had begun with the receipt; half as long at least, so that a version whose targets come late, or are evacuated at first, is still tried.

TestTrialFitsIntoPeriod failed before ("period 8s: completed after 8.2s, want at least 1 s before the end"), and TestLateTrialIsNotShort.

--- a/internal/shifter/trial_test.go
+++ b/internal/shifter/trial_test.go
@@ -75,7 +75,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Date(2026, time.March, 1, 0, 0, 0, 0, time.UTC)
-			var trial shifter.Trial
+			trial := shifter.NewTrial(now)
 			calls := 0
 			for _, s := range test.steps {
 				trial = trial.With(rollout, now, s.serving, calls)
@@ -92,3 +92,45 @@
 		})
 	}
 }
+
+// TestTrialFitsIntoPeriod guards against a good version that is completed too late because
+// its targets start after the rollout was received.
+func TestTrialFitsIntoPeriod(t *testing.T) {
+	for _, period := range []time.Duration{8, 12, 16, 30, 600} {
+		r := rollout
+		r.Period = period * time.Second
+		received := time.Date(2026, time.March, 1, 0, 0, 0, 0, time.UTC)
+		trial := shifter.NewTrial(received)
+		const step = 100 * time.Millisecond
+		calls := 0
+		now := received
+		for ; now.Sub(received) < 2*r.Period && !trial.Completes(r, now, calls); now = now.Add(step) {
+			if trial.Share(r, now) == 1 {
+				calls += 5
+			}
+			trial = trial.With(r, now, now.Sub(received) >= 1500*time.Millisecond, calls)
+		}
+		if completed := now.Sub(received); completed > r.Period-time.Second {
+			t.Errorf("period %v: completed after %v, want at least 1 s before the end", r.Period, completed)
+		}
+	}
+}
+
+// TestLateTrialIsNotShort checks the shares of a version whose first target starts when the
+// period is over: half of the period's trial at least.
+func TestLateTrialIsNotShort(t *testing.T) {
+	received := time.Date(2026, time.March, 1, 0, 0, 0, 0, time.UTC)
+	began := received.Add(2 * rollout.Period)
+	trial := shifter.NewTrial(received).With(rollout, began, true, 0)
+	half := rollout
+	half.Period /= 2
+	for elapsed := time.Duration(0); elapsed < rollout.Period; elapsed += 100 * time.Millisecond {
+		now := began.Add(elapsed)
+		if got, want := trial.Share(rollout, now), half.Share(elapsed); got != want {
+			t.Fatalf("Share() = %v after %v, want %v", got, elapsed, want)
+		}
+		if trial.Completes(rollout, now, 1000) && elapsed < half.CompletionTime() {
+			t.Fatalf("completes after %v, want at least %v", elapsed, half.CompletionTime())
+		}
+	}
+}
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -47,7 +47,7 @@
 	case s.completed:
 		return 1
 	default:
-		return s.rollout.Share(s.trial.Elapsed(now))
+		return s.trial.Share(*s.rollout, now)
 	}
 }
 
@@ -131,9 +131,10 @@
 		declared.Plan = previous.Plan
 	}
 	d.declared = declared
+	now := d.clock.Now()
 	for _, r := range declared.Rollouts {
 		if _, recorded := d.trials[r.Revision]; !recorded {
-			d.trials[r.Revision] = shifter.Trial{}
+			d.trials[r.Revision] = shifter.NewTrial(now)
 			d.log.Info("move ordered", "service", r.Service, "version", r.Version, "period", r.Period, "revision", r.Revision)
 		}
 	}
