sidecar: count only the results of the rollout in force

What callers saw: nothing yet, found while the results of a rollout were traced. If a version is rolled out again under the same name, the counts that its targets announced in the earlier rollout are counted in the new one, until each target has failed or doubled its calls again. Old failures then roll a mended version back, and old responses stand in for those that complete a rollout.

Cause: a member's counts bore the version, not the rollout.

Change: they bear the revision of the rollout's record, and those of another revision do not count.

TestEarlierRolloutDoesNotCount failed before: "results = {Calls:50 Failures:2} at the start of the next rollout, want none". Tests of prober pass with -race; so do TestRollouts, TestUntestedVersionIsNotCompleted and the new test.

--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -80,10 +80,11 @@
 	// Withdrawn means that the daemon has declared the target's version bad.
 	Withdrawn bool `json:"withdrawn,omitempty"`
 	// Calls counts the target's responses, and Failures the failed ones among
-	// them, since traffic began to move to its version. They are announced with
-	// each failure.
-	Calls    int `json:"calls,omitempty"`
-	Failures int `json:"faults,omitempty"`
+	// them, during the rollout of its version whose record has the revision Rollout.
+	// They are announced with each failure.
+	Calls    int    `json:"calls,omitempty"`
+	Failures int    `json:"faults,omitempty"`
+	Rollout  uint64 `json:"rollout,omitempty"`
 }
 
 // WithStatus returns a copy of m with the given status.
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -64,12 +64,19 @@
 // doubled.
 func (d *Daemon) publishCounts(r shifter.Rollout, failed bool) {
 	self := d.members.Self().Target
+	if self == nil || self.Version != r.Version {
+		return
+	}
+	published := 0
+	if self.Rollout == r.Revision {
+		published = self.Calls
+	}
 	total := d.judge.Total(r)
-	if self == nil || self.Version != r.Version || (!failed && total.Calls < 2*max(minDoublingBase, self.Calls)) {
+	if !failed && total.Calls < 2*max(minDoublingBase, published) {
 		return
 	}
 	next := *self
-	next.Calls, next.Failures = total.Calls, total.Failures
+	next.Rollout, next.Calls, next.Failures = r.Revision, total.Calls, total.Failures
 	d.publishTarget(&next)
 }
 
@@ -77,7 +84,7 @@
 func resultsOf(r shifter.Rollout, members []prober.Member) shifter.Totals {
 	var pool shifter.Totals
 	for _, m := range members {
-		if m.Target.Version == r.Version {
+		if m.Target.Rollout == r.Revision {
 			pool.Calls += m.Target.Calls
 			pool.Failures += m.Target.Failures
 		}
--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -75,6 +75,7 @@
 			Instance: id,
 			Calls:    results.Calls,
 			Failures: results.Failures,
+			Rollout:  rollout.Revision,
 		},
 	})
 	d.refresh()
@@ -117,3 +118,17 @@
 		t.Errorf("state = %v, %v after 500 responses, want %v", state, ok, shifter.Completed)
 	}
 }
+
+// TestEarlierRolloutDoesNotCount guards against results of a version's earlier rollout.
+func TestEarlierRolloutDoesNotCount(t *testing.T) {
+	d := newRolloutDaemon()
+	d.putTarget("martin-1", "martin", "v2", shifter.Totals{Calls: 50, Failures: 2})
+	next := rollout
+	next.Revision++
+	d.stateMu.Lock()
+	d.applyDeclaration(Declaration{Rollouts: map[string]shifter.Rollout{"renewal": next}})
+	d.stateMu.Unlock()
+	if got := d.view.Load().services["renewal"].results; got != (shifter.Totals{}) {
+		t.Errorf("results = %+v at the start of the next rollout, want none", got)
+	}
+}
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -134,7 +134,7 @@
 		Withdrawn: d.foundBad(a.Service, a.Version),
 	}
 	if known := d.members.Self().Target; known != nil && known.Instance == next.Instance {
-		next.Calls, next.Failures = known.Calls, known.Failures
+		next.Rollout, next.Calls, next.Failures = known.Rollout, known.Calls, known.Failures
 	}
 	d.publishTarget(&next)
 }
