shifter: keep the results of daemons that are gone

Cause: the counts of a version were summed over the members whose targets serve at that moment. What a target had failed was forgotten when it drained, or its daemon left, died or restarted. A version that crashes its targets hides its failures that way.

Class: evidence is kept only by the process that is under test.

Change: each daemon adds up what the members report (shifter.Results); what was reported by a daemon that is gone stays counted, a restarted one adds to it. The counts of a rollout that is no longer declared are dropped. A target that follows another one of its version at the same daemon goes on with its counts.

Not covered: failures that no other daemon had received when the daemon died, and a daemon that starts later than those that are gone left. If a restarted daemon first reports more calls and failures than before its restart, the difference is counted.

TestFailuresOfGoneDaemonsCount failed before in its three cases: "share = 0.03 after 3 failures of 8 responses, want 0". Tests of shifter, and TestRollouts and the tests of moves_test.go in sidecar, pass with -race.

--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -80,16 +80,23 @@
 	d.publishTarget(&next)
 }
 
-// resultsOf returns the results of all targets of a rollout's version together.
-func resultsOf(r shifter.Rollout, members []prober.Member) shifter.Totals {
-	var pool shifter.Totals
+// resultsOf returns the results of all targets of a rollout's version together, those of
+// daemons that are gone included. The caller holds stateMu.
+func (d *Daemon) resultsOf(r shifter.Rollout, members []prober.Member) shifter.Totals {
+	results := d.results[r.Revision]
+	if results == nil {
+		results = &shifter.Results{}
+		d.results[r.Revision] = results
+	}
 	for _, m := range members {
-		if m.Target.Rollout == r.Revision {
-			pool.Calls += m.Target.Calls
-			pool.Failures += m.Target.Failures
+		if m.Target != nil && m.Target.Rollout == r.Revision {
+			results.Add(m.ID, shifter.Totals{
+				Calls:    m.Target.Calls,
+				Failures: m.Target.Failures,
+			})
 		}
 	}
-	return pool
+	return results.Total()
 }
 
 // withdrawal is the message that reports that a rollout's version was found bad.
--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -119,6 +119,40 @@
 	}
 }
 
+// TestFailuresOfGoneDaemonsCount guards against a bad version that is not found because each
+// daemon that has seen it fail is soon gone.
+func TestFailuresOfGoneDaemonsCount(t *testing.T) {
+	for name, end := range map[string]func(d *rolloutDaemon){
+		"left": func(d *rolloutDaemon) {
+			m, _ := d.members.Get("martin-1")
+			d.members.Merge(m.WithStatus(prober.Left))
+		},
+		"restarted": func(d *rolloutDaemon) { d.putTarget("martin-1", "martin", "v2", shifter.Totals{}) },
+		"without its target": func(d *rolloutDaemon) {
+			m, _ := d.members.Get("martin-1")
+			m.Incarnation++
+			d.members.Merge(m.WithTarget(nil))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newRolloutDaemon()
+			d.putTarget("martin-1", "martin", "v2", shifter.Totals{Calls: 5, Failures: 2})
+			end(d)
+			d.refresh()
+			if share := d.pool("renewal").Share; share == 0 {
+				t.Error("withdrawn after 2 failures, want 3")
+			}
+			d.putTarget("martin-2", "martin", "v2", shifter.Totals{Calls: 3, Failures: 1})
+			if share := d.pool("renewal").Share; share != 0 {
+				t.Errorf("share = %v after 3 failures of 8 responses, want 0", share)
+			}
+			if state, ok := d.state(); !ok || state != shifter.RolledBack {
+				t.Errorf("state = %v, %v, want %v", state, ok, shifter.RolledBack)
+			}
+		})
+	}
+}
+
 // TestEarlierRolloutDoesNotCount guards against results of a version's earlier rollout.
 func TestEarlierRolloutDoesNotCount(t *testing.T) {
 	d := newRolloutDaemon()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -132,6 +132,8 @@
 	settled map[string]shifter.Outcome
 	// trials holds the trials of rollouts, by the revision of their records.
 	trials map[uint64]shifter.Trial
+	// results holds the results of the rollouts that are declared, by revision.
+	results map[uint64]*shifter.Results
 	// baseline holds the version that serves each service's requests outside a
 	// rollout. badRollouts holds the rollouts whose version was found bad.
 	baseline    map[string]string
@@ -241,6 +243,7 @@
 		control:           linker.NewServer(s.Key),
 		chooser:           chooser.New(o.Clock),
 		trials:            map[uint64]shifter.Trial{},
+		results:           map[uint64]*shifter.Results{},
 		baseline:          map[string]string{},
 		badRollouts:       map[shifter.Rollout]bool{},
 		endedProcesses:    map[targetProcess]bool{},
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -133,7 +133,7 @@
 		Instance:  a.Instance,
 		Withdrawn: d.foundBad(a.Service, a.Version),
 	}
-	if known := d.members.Self().Target; known != nil && known.Instance == next.Instance {
+	if known := d.members.Self().Target; known != nil && known.Version == next.Version {
 		next.Rollout, next.Calls, next.Failures = known.Rollout, known.Calls, known.Failures
 	}
 	d.publishTarget(&next)
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
@@ -132,12 +133,15 @@
 	}
 	d.declared = declared
 	now := d.clock.Now()
+	current := map[uint64]bool{}
 	for _, r := range declared.Rollouts {
+		current[r.Revision] = true
 		if _, recorded := d.trials[r.Revision]; !recorded {
 			d.trials[r.Revision] = shifter.NewTrial(now)
 			d.log.Info("move ordered", "service", r.Service, "version", r.Version, "period", r.Period, "revision", r.Revision)
 		}
 	}
+	maps.DeleteFunc(d.results, func(revision uint64, _ *shifter.Results) bool { return !current[revision] })
 	if previous.Evacuated[d.settings.DC] && !declared.Evacuated[d.settings.DC] {
 		d.gate.SuspectCold()
 	}
@@ -206,15 +210,16 @@
 		evacuated: d.declared.Evacuated,
 		services:  map[string]*serviceView{},
 	}
+	members := d.members.All()
 	serving := map[string][]prober.Member{}
-	for _, m := range d.members.All() {
+	for _, m := range members {
 		if m.Serves() {
 			serving[m.Target.Service] = append(serving[m.Target.Service], m)
 			v.targets++
 		}
 	}
 	for name := range v.plan.Services {
-		v.services[name] = d.serviceView(name, v, serving[name])
+		v.services[name] = d.serviceView(name, v, serving[name], members)
 	}
 	old := d.view.Swap(v)
 	if old == nil || v.evacuated[d.settings.DC] != old.evacuated[d.settings.DC] || v.versionsChanged(old, d.sidecar.Service) {
@@ -233,11 +238,11 @@
 }
 
 // serviceView builds the state of one service: the state of its rollout, and its
-// targets by version. It continues the trial of the rollout's version. It records in badRollouts if a member has found the rollout's
+// targets by version. Members are those whose targets serve it, all also the others. It continues the trial of the rollout's version. It records in badRollouts if a member has found the rollout's
 // version bad, and withdraws the version if its targets together fail too often.
 // Members in data centres that appear unreachable stay in the view, because only
 // requests show whether they are really unreachable.
-func (d *Daemon) serviceView(service string, v *view, members []prober.Member) *serviceView {
+func (d *Daemon) serviceView(service string, v *view, members, all []prober.Member) *serviceView {
 	s := &serviceView{}
 	if r, ok := d.declared.Rollouts[service]; ok {
 		s.rollout = &r
@@ -267,7 +272,7 @@
 		}
 	}
 	if s.rollout != nil {
-		s.results = resultsOf(*s.rollout, members)
+		s.results = d.resultsOf(*s.rollout, all)
 		s.trial = d.trials[s.rollout.Revision].With(*s.rollout, d.clock.Now(), len(s.canaries) > 0, s.results.Calls)
 		d.trials[s.rollout.Revision] = s.trial
 	}
