server: log what decides whether a target has crashed

When requests crashed more targets than allowed, the logs showed "target died" for two of three or four targets and nothing of the others: not that a connection to a target broke, nor what the connection attempt that follows found, whether a report reached the other daemons, or which request was refused or run alone. So the possible causes (a death that is not seen, one that is seen and not reported, a report that comes late) could not be told apart.

Each of these is one line now, with the request's id and fingerprint, the error, the result of the connection attempt and the death's id. The volume is one line for each request that fails at the target, is refused, or runs alone.

--- a/internal/server/crashes.go
+++ b/internal/server/crashes.go
@@ -49,16 +49,20 @@
 		isolated, err := d.admitRequest(r.Header.Get(forwarder.ServiceHeader), fingerprint)
 		if err != nil {
 			metrics.GetOrRegisterCounter("target.quarantined", d.metrics).Inc(1)
+			d.log.Warn("quarantined request rejected", "request", requestID(r), "fingerprint", fingerprint, "err", err)
 			forwarder.Refuse(w, r, err)
 			return
 		}
 		if isolated {
+			d.log.Info("suspected request runs alone", "request", requestID(r), "fingerprint", fingerprint)
 			defer d.crashes.EndIsolation()
 		}
 		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), fingerprintKey{}, fingerprint)))
 	})
 }
 
+func requestID(r *http.Request) string { return r.Header.Get(forwarder.RequestIDHeader) }
+
 func (d *Daemon) admitRequest(service, fingerprint string) (isolated bool, err error) {
 	if _, ok := d.facts.Get(spreader.Quarantined, service+"/"+fingerprint); ok {
 		return false, quarantiner.ErrQuarantined
@@ -91,7 +95,7 @@
 	t.daemon.crashes.RequestStarted(fingerprint)
 	resp, err := t.RoundTripper.RoundTrip(r)
 	if err != nil {
-		t.daemon.checkCrash(r)
+		t.daemon.checkCrash(r, fingerprint, err)
 		t.daemon.crashes.RequestEnded(fingerprint, false)
 		return nil, err
 	}
@@ -134,16 +138,25 @@
 func (b *watchedBody) end(err error) {
 	b.once.Do(func() {
 		if err != nil && err != io.EOF {
-			b.daemon.checkCrash(b.request)
+			b.daemon.checkCrash(b.request, b.fingerprint, err)
 		}
 		b.daemon.crashes.RequestEnded(b.fingerprint, err == io.EOF && !b.failed)
 	})
 }
 
-// checkCrash checks whether the target has crashed. If so, it sends the fingerprints
-// of the requests in flight to the other daemons of the service.
-func (d *Daemon) checkCrash(r *http.Request) {
-	if r.Context().Err() != nil || isListening(r.URL.Host) {
+// checkCrash checks whether the target has crashed, after the connection of a
+// request broke with err. If so, it sends the fingerprints of the requests in flight
+// to the other daemons of the service.
+func (d *Daemon) checkCrash(r *http.Request, fingerprint string, err error) {
+	logger := d.log.With("request", requestID(r), "fingerprint", fingerprint)
+	if r.Context().Err() != nil {
+		logger.Debug("request to the target ended", "err", err)
+		return
+	}
+	start := d.clock.Now()
+	listening, dialErr := isListening(r.URL.Host)
+	logger.Warn("connection to the target broke", "err", err, "listening", listening, "dial", dialErr, "took", d.clock.Now().Sub(start))
+	if listening {
 		return
 	}
 	d.crashReportMu.Lock()
@@ -151,6 +164,7 @@
 	fingerprints := d.crashes.TargetDied()
 	l := d.local.Load()
 	if len(fingerprints) == 0 || l == nil {
+		logger.Debug("target's death not reported", "suspects", len(fingerprints), "announced", l != nil)
 		return
 	}
 	report := quarantiner.Report{
@@ -159,7 +173,7 @@
 		Fingerprints: fingerprints,
 	}
 	metrics.GetOrRegisterCounter("target.deaths", d.metrics).Inc(1)
-	d.log.Warn("target died", "suspects", len(fingerprints))
+	logger.Warn("target died", "death", report.Death, "suspects", len(fingerprints))
 	for _, fingerprint := range d.crashes.AddReport(report) {
 		d.publishFact(spreader.Quarantined, report.Service+"/"+fingerprint, "crashed its targets", quarantiner.QuarantineTTL)
 	}
@@ -167,14 +181,14 @@
 }
 
 // isListening reports whether the target may still be running. Only a refused
-// connection shows that it is not.
-func isListening(address string) bool {
+// connection shows that it is not. err is the error of the connection attempt.
+func isListening(address string) (listening bool, err error) {
 	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err == nil {
 		_ = conn.Close()
-		return true
+		return true, nil
 	}
-	return !errors.Is(err, syscall.ECONNREFUSED)
+	return !errors.Is(err, syscall.ECONNREFUSED), err
 }
 
 // sendCrashReport sends a crash report to the other daemons of the service. It
@@ -190,7 +204,7 @@
 		calls.Go(func() {
 			var done Done
 			if err := d.client.Call(ctx, m.Control, crashMethod, r, &done); err != nil {
-				d.log.Debug("cannot send crash report", "peer", m.ID, "err", err)
+				d.log.Warn("cannot send crash report", "peer", m.ID, "death", r.Death, "err", err)
 			}
 		})
 	}
@@ -202,6 +216,7 @@
 	if len(r.Fingerprints) > quarantiner.MaxSuspectsPerDeath || len(r.Death) > quarantiner.MaxFingerprint {
 		return Done{}, Class.New("report of a death out of bounds")
 	}
-	d.crashes.AddReport(r)
+	quarantined := d.crashes.AddReport(r)
+	d.log.Info("crash reported", "service", r.Service, "death", r.Death, "suspects", len(r.Fingerprints), "quarantined", len(quarantined))
 	return Done{Done: true}, nil
 }
