server: see a crash while the target still exits

Callers saw one request crash three or four of four targets, two at most being allowed: TestCrashRequest failed beside load, with two or three 504 for the crash request in place of one.

Cause: after a connection to the target broke, the daemon connected once, and an accepted connection meant that the target runs. But the kernel accepts, and it closes an exiting process's connections before its listening socket if it comes to that. Beside load the process is preempted in between. The crash was then not reported, and the request was no longer in flight when the next one was refused, so nobody became suspect.

No report was lost ("cannot send crash report" never came), and the targets were still announced, which rules out the other hypotheses.

The check now goes on until it knows: a refused connection, or a response to "OPTIONS *" on the connection. A connection that is accepted and reset shows nothing. If that takes longer than the answer may wait, the check goes on in the background, and the request counts as in flight until it ends.

--- a/internal/server/crashes.go
+++ b/internal/server/crashes.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"crypto/subtle"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
@@ -23,12 +21,13 @@
 const crashMethod = "crash"
 
 const (
-	// crashTimeout limits how long a failed request's response waits for the
-	// service's daemons to receive the crash report.
+	// crashTimeout limits how long a failed request's response waits for the check
+	// whether the target has crashed, and then for the service's daemons to receive
+	// the crash report.
 	crashTimeout = 250 * time.Millisecond
-	// dialTimeout limits the connection attempt that checks whether a target
-	// still listens.
-	dialTimeout = 100 * time.Millisecond
+	// crashCheckTimeout limits that check. A target without heartbeats is removed
+	// after the same time.
+	crashCheckTimeout = heartbeatTimeout
 )
 
 // fingerprintKey is the context key of a request's fingerprint.
@@ -95,8 +94,7 @@
 	t.daemon.crashes.RequestStarted(fingerprint)
 	resp, err := t.RoundTripper.RoundTrip(r)
 	if err != nil {
-		t.daemon.checkCrash(r, fingerprint, err)
-		t.daemon.crashes.RequestEnded(fingerprint, false)
+		t.daemon.endBroken(r, fingerprint, err)
 		return nil, err
 	}
 	resp.Body = &watchedBody{
@@ -138,37 +136,70 @@
 func (b *watchedBody) end(err error) {
 	b.once.Do(func() {
 		if err != nil && err != io.EOF {
-			b.daemon.checkCrash(b.request, b.fingerprint, err)
+			b.daemon.endBroken(b.request, b.fingerprint, err)
+			return
 		}
 		b.daemon.crashes.RequestEnded(b.fingerprint, err == io.EOF && !b.failed)
 	})
 }
 
-// checkCrash checks whether the target has crashed, after the connection of a
-// request broke with err. If so, it sends the fingerprints of the requests in flight
-// to the other daemons of the service.
-func (d *Daemon) checkCrash(r *http.Request, fingerprint string, err error) {
+// endBroken ends a request whose connection to the target broke with err, after a
+// check whether the target has crashed. The check goes on in the background if it
+// takes longer than crashTimeout; until it ends, the request counts as in flight.
+func (d *Daemon) endBroken(r *http.Request, fingerprint string, err error) {
 	logger := d.log.With("request", requestID(r), "fingerprint", fingerprint)
-	if r.Context().Err() != nil {
+	l := d.local.Load()
+	if r.Context().Err() != nil || l == nil {
 		logger.Debug("request to the target ended", "err", err)
+		d.crashes.RequestEnded(fingerprint, false)
 		return
 	}
-	start := d.clock.Now()
-	listening, dialErr := isListening(r.URL.Host)
-	logger.Warn("connection to the target broke", "err", err, "listening", listening, "dial", dialErr, "took", d.clock.Now().Sub(start))
-	if listening {
-		return
+	checked, reported := make(chan struct{}), make(chan struct{})
+	address := r.URL.Host
+	go func() {
+		defer close(reported)
+		defer d.crashes.RequestEnded(fingerprint, false)
+		start := d.clock.Now()
+		exited, checkErr := d.targetExited(address)
+		logger.Warn("connection to the target broke", "err", err, "listening", !exited, "check", checkErr, "took", d.clock.Now().Sub(start))
+		close(checked)
+		if exited {
+			d.reportCrash(l.Service, logger)
+		}
+	}()
+	timer := time.NewTimer(d.crashWait)
+	defer timer.Stop()
+	select {
+	case <-checked:
+		<-reported
+	case <-timer.C:
+	}
+}
+
+// targetExited reports whether the target has exited. The error is set if that is
+// not known after crashCheckTimeout.
+func (d *Daemon) targetExited(address string) (bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	check := forwarder.ExitCheck{
+		Address: address,
+		Ping:    true,
 	}
+	return check.Exited(ctx)
+}
+
+// reportCrash sends the fingerprints of the requests in flight at the target's crash
+// to the other daemons of the service.
+func (d *Daemon) reportCrash(service string, logger *log.Logger) {
 	d.crashReportMu.Lock()
 	defer d.crashReportMu.Unlock()
 	fingerprints := d.crashes.TargetDied()
-	l := d.local.Load()
-	if len(fingerprints) == 0 || l == nil {
-		logger.Debug("target's death not reported", "suspects", len(fingerprints), "announced", l != nil)
+	if len(fingerprints) == 0 {
+		logger.Debug("target's death not reported", "suspects", 0)
 		return
 	}
 	report := quarantiner.Report{
-		Service:      l.Service,
+		Service:      service,
 		Death:        uuid.NewString(),
 		Fingerprints: fingerprints,
 	}
@@ -180,17 +211,6 @@
 	d.sendCrashReport(report)
 }
 
-// isListening reports whether the target may still be running. Only a refused
-// connection shows that it is not. err is the error of the connection attempt.
-func isListening(address string) (listening bool, err error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return true, nil
-	}
-	return !errors.Is(err, syscall.ECONNREFUSED), err
-}
-
 // sendCrashReport sends a crash report to the other daemons of the service. It
 // waits for them for at most crashTimeout.
 func (d *Daemon) sendCrashReport(r quarantiner.Report) {
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -104,6 +104,9 @@
 	// crashReportMu serialises crash reports. Each request that a crash interrupted
 	// is answered only after the report has been sent or crashTimeout has passed.
 	crashReportMu sync.Mutex
+	// crashWait limits how long a broken request waits for the check whether the
+	// target has crashed.
+	crashWait time.Duration
 
 	// probeSem and callSem contain a token for each membership call in flight. They
 	// are separate so that calls to an unreachable data centre do not block probes.
@@ -169,6 +172,7 @@
 	})
 	d.claims = d.newClaims()
 	d.crashes = quarantiner.New(d.clock)
+	d.crashWait = crashTimeout
 	d.prober = d.newProber()
 	d.balancer.Weight = d.dataCentreShare
 	d.state.Store(&applier.State{})
