server: a request whose connection is refused is no suspect

After a target's death, a request that was sent there and refused a connection became suspect of that death, unless its like had succeeded before: callers could get 503 "request was in flight at a crash" for a request that had run nowhere, and after two such refusals, a second apart or at two dead targets, "request has crashed targets" for ten minutes.

Cause: a request counted as in flight before it had a connection, and the refusal was then taken for a crash with that request in flight. It was found while tracing TestCrashRequest, whose other requests have all succeeded before and so never showed it.

A request now is in flight from when it has a connection. A refused one still makes the daemon check the target, on behalf of those that are.

TestRefusedConnectionIsNotSuspect failed before: "target died ... suspects=1" and the request was to run alone. The tests of the package passed after it with -race, those of crashes 20 times.

--- a/internal/server/crashes.go
+++ b/internal/server/crashes.go
@@ -5,7 +5,9 @@
 	"crypto/subtle"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -85,16 +87,28 @@
 
 // RoundTrip sends one request. If the connection fails, it checks whether the
 // target has crashed. It then returns only after the service's daemons have
-// received the report, or after crashTimeout.
+// received the report, or after crashTimeout. The request is in flight once it has
+// a connection; one whose connection is refused cannot have crashed the target.
 func (t crashTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	fingerprint, ok := r.Context().Value(fingerprintKey{}).(string)
 	if !ok {
 		return t.RoundTripper.RoundTrip(r)
 	}
-	t.daemon.crashes.RequestStarted(fingerprint)
-	resp, err := t.RoundTripper.RoundTrip(r)
+	var started atomic.Bool
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			if !started.Swap(true) {
+				t.daemon.crashes.RequestStarted(fingerprint)
+			}
+		},
+	})
+	resp, err := t.RoundTripper.RoundTrip(r.WithContext(ctx))
 	if err != nil {
-		t.daemon.endBroken(r, fingerprint, err)
+		t.daemon.connectionBroke(r, err, func() {
+			if started.Load() {
+				t.daemon.crashes.RequestEnded(fingerprint, false)
+			}
+		})
 		return nil, err
 	}
 	resp.Body = &watchedBody{
@@ -136,29 +150,30 @@
 func (b *watchedBody) end(err error) {
 	b.once.Do(func() {
 		if err != nil && err != io.EOF {
-			b.daemon.endBroken(b.request, b.fingerprint, err)
+			b.daemon.connectionBroke(b.request, err, func() { b.daemon.crashes.RequestEnded(b.fingerprint, false) })
 			return
 		}
 		b.daemon.crashes.RequestEnded(b.fingerprint, err == io.EOF && !b.failed)
 	})
 }
 
-// endBroken ends a request whose connection to the target broke with err, after a
-// check whether the target has crashed. The check goes on in the background if it
-// takes longer than crashTimeout; until it ends, the request counts as in flight.
-func (d *Daemon) endBroken(r *http.Request, fingerprint string, err error) {
-	logger := d.log.With("request", requestID(r), "fingerprint", fingerprint)
+// connectionBroke checks whether the target has crashed, after the connection of a
+// request broke with err or was refused, and then calls end. It returns after
+// crashTimeout if the check takes longer; until end is called, the request counts as
+// in flight.
+func (d *Daemon) connectionBroke(r *http.Request, err error, end func()) {
+	logger := d.log.With("request", requestID(r), "fingerprint", r.Context().Value(fingerprintKey{}))
 	l := d.local.Load()
 	if r.Context().Err() != nil || l == nil {
 		logger.Debug("request to the target ended", "err", err)
-		d.crashes.RequestEnded(fingerprint, false)
+		end()
 		return
 	}
 	checked, reported := make(chan struct{}), make(chan struct{})
 	address := r.URL.Host
 	go func() {
 		defer close(reported)
-		defer d.crashes.RequestEnded(fingerprint, false)
+		defer end()
 		start := d.clock.Now()
 		exited, checkErr := d.targetExited(address)
 		logger.Warn("connection to the target broke", "err", err, "listening", !exited, "check", checkErr, "took", d.clock.Now().Sub(start))
--- a/internal/server/crashes_test.go
+++ b/internal/server/crashes_test.go
@@ -193,3 +193,19 @@
 		t.Errorf("a request that the target aborted is suspect:\n%s", logs)
 	}
 }
+
+func TestRefusedConnectionIsNotSuspect(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+	d, logs := newTargetDaemon(ln.Addr().String())
+	d.crashWait = time.Minute
+	if w := forwardToTarget(d, "r-1"); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", w.Code)
+	}
+	if isSuspect(t, d) {
+		t.Errorf("a request that did not reach the target is suspect:\n%s", logs)
+	}
+}
