quarantiner: refused requests don't hide the crash after a restart

A target that is back after some seconds and crashes again at once was not reported if a request had been refused there within the second before, as requests are until the restart: the second death was taken for the first, and the request that crashes targets had one death fewer on record.

Cause: each check that finds the target dead opened the window in which further ones belong to the same crash, even if no request was in flight, so that there was nothing to report. Only one that finds suspects opens it now.

TestRefusedRequestsDoNotHideCrashAfterRestart failed before: no suspects. The fault was found by reading, not on a run; the simulations of the package pass as before.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -161,7 +161,8 @@
 
 // TargetDied returns the fingerprints in flight at the target's crash that have
 // not succeeded recently, at most MaxSuspectsPerDeath. Several connections may
-// break in one crash; only the first call within crashWindow returns them.
+// break in one crash; only the first call within crashWindow that finds any returns
+// them.
 func (q *Quarantiner) TargetDied() []string {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -169,13 +170,15 @@
 	if now.Sub(q.lastCrash) < crashWindow {
 		return nil
 	}
-	q.lastCrash = now
 	var fingerprints []string
 	for fingerprint := range q.inFlight {
 		if !q.hasSucceeded(fingerprint) && len(fingerprints) < MaxSuspectsPerDeath {
 			fingerprints = append(fingerprints, fingerprint)
 		}
 	}
+	if len(fingerprints) > 0 {
+		q.lastCrash = now
+	}
 	return fingerprints
 }
 
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -63,6 +63,19 @@
 	}
 }
 
+func TestRefusedRequestsDoNotHideCrashAfterRestart(t *testing.T) {
+	clock := timekeeper.NewVirtual(start)
+	q := quarantiner.New(clock)
+	if suspects := q.TargetDied(); suspects != nil {
+		t.Errorf("with none in flight: TargetDied() = %v, want nil", suspects)
+	}
+	clock.Advance(100 * time.Millisecond)
+	q.RequestStarted("crash")
+	if suspects := q.TargetDied(); !slices.Equal(suspects, []string{"crash"}) {
+		t.Errorf("after a restart: TargetDied() = %v, want [crash]", suspects)
+	}
+}
+
 // TestHotRequestIsNeverSuspect checks that a frequent request that succeeds
 // never becomes a suspect, even when so many others succeed in between that old
 // fingerprints are removed.
