receiver: close an idle connection at the last look at its socket

What callers saw: at a stop or an idle timeout, a request that arrived on a kept connection ended with EOF. The daemon's log has "connection ended without a response" with reason "stopped" and discarded bytes.

Cause: the last look at the socket and the close of the connection were far apart. The reader looked, ended, waited for the goroutine that writes responses, and only then closed the write side. A process that is short of processor time can be held up there for longer than the 200 ms for which a request that crosses the close is excused; the client sees an open connection all the while.

Evidence: TestIdleConnectionHeldUpAtItsClose holds up the connection after the look and waits for the close at the client. It failed before, for the stop and for the idle timeout (i/o timeout, want EOF).

Change: the look and the close of the write side are two system calls one after the other, without a switch of goroutines between them. What is left is a request that crosses the close, and a thread that is preempted between the two calls.

--- a/internal/receiver/close_test.go
+++ b/internal/receiver/close_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +22,8 @@
 	*net.TCPConn
 	beforeRead func(conn *net.TCPConn)
 	afterRead  func(n int)
+	// afterLook is called after each system call that does not read or write.
+	afterLook func()
 }
 
 func (h *hookedConn) Read(p []byte) (int, error) {
@@ -31,6 +37,29 @@
 	return n, err
 }
 
+func (h *hookedConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := h.TCPConn.SyscallConn()
+	if h.afterLook == nil || err != nil {
+		return raw, err
+	}
+	return &hookedRawConn{
+		RawConn:      raw,
+		afterControl: h.afterLook,
+	}, nil
+}
+
+// hookedRawConn calls a function after each call of Control.
+type hookedRawConn struct {
+	syscall.RawConn
+	afterControl func()
+}
+
+func (h *hookedRawConn) Control(f func(fd uintptr)) error {
+	err := h.RawConn.Control(f)
+	h.afterControl()
+	return err
+}
+
 // awaitData waits until data has arrived on a connection.
 func awaitData(t *testing.T, conn net.Conn) {
 	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
@@ -194,6 +223,39 @@
 	checkRejection(t, resp)
 }
 
+// TestIdleConnectionHeldUpAtItsClose guards against a close that follows late on the last look.
+func TestIdleConnectionHeldUpAtItsClose(t *testing.T) {
+	idle := generousLimits
+	idle.IdleTimeout = 20 * time.Millisecond
+	for name, limits := range map[string]receiver.Limits{"stopped": generousLimits, "idle timeout": idle} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(limits, func(context.Context, *receiver.Request) *receiver.Response {
+				return okResponse("")
+			})
+			looked, release := make(chan struct{}), make(chan struct{})
+			var once sync.Once
+			address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+				return &hookedConn{
+					TCPConn: conn,
+					afterLook: func() {
+						once.Do(func() { close(looked) })
+						<-release
+					},
+				}
+			})
+			_, r := dial(t, address)
+			defer close(release)
+			if name == "stopped" {
+				s.Stop()
+			}
+			<-looked
+			if _, err := r.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("read after the last look: %v, want EOF", err)
+			}
+		})
+	}
+}
+
 // TestStopAnswersPipelinedRequest guards against dropping a request behind another.
 func TestStopAnswersPipelinedRequest(t *testing.T) {
 	entered, release := make(chan struct{}), make(chan struct{})
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
@@ -226,7 +228,7 @@
 	c.limit.remaining = c.server.Limits().HeaderBytes + readBufferSize
 	c.setIdleDeadline()
 	_, err := c.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasArrived() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.closeUnlessArrived() {
 		_ = c.conn.SetReadDeadline(time.Time{})
 		_, err = c.reader.Peek(1)
 	}
@@ -239,11 +241,27 @@
 	return nil
 }
 
-// hasArrived reports whether data has arrived that was not read. After a deadline,
-// Read does not look for it.
-func (c *connection) hasArrived() bool {
-	n, _ := forwarder.Peek(c.conn, make([]byte, 1))
-	return n > 0
+// closeUnlessArrived closes the write side of the connection unless data has arrived
+// that was not read, and reports whether there is such data. After a deadline, Read does
+// not look for it. Nothing may hold up the process between the two steps: the connection
+// looks open to its client, and a request that arrives then gets no response.
+func (c *connection) closeUnlessArrived() (arrived bool) {
+	syscallConn, ok := c.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	p := make([]byte, 1)
+	_ = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), p, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if arrived = n > 0; err == unix.EAGAIN {
+			_ = unix.Shutdown(int(fd), unix.SHUT_WR)
+		}
+	})
+	return arrived
 }
 
 // setIdleDeadline bounds the wait for a request if no response is pending. After
