soaker: say how far a lost or late request got

What readers of a soak's result saw: "late: answered 200 after 1.8s of 1s", at loads of 20 and more, and no way to tell whether the daemon was held up or the soak's own client.

Cause: a violation had one time only, the whole of the request at the client.

TestViolationTellsProgress failed to build before.

Change: a violation has the time of day at which the request was sent, and the times after it at which the client had a connection, had written the request and got the first byte of the response. What is checked is as before.

Measured: the tests of the ledger pass with -race.

--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -22,9 +22,10 @@
 	// BodySent is when the last byte was sent, zero if that was at Sent.
 	BodySent time.Time
 	// Written means that the whole request was sent.
-	Written bool
-	Ended   time.Time
-	Reply   emulator.Reply
+	Written  bool
+	Progress Progress
+	Ended    time.Time
+	Reply    emulator.Reply
 	// Err is set if the client got no response. Excused means that the request
 	// was allowed to fail; see process.excusesFailure.
 	Err     error
@@ -34,6 +35,18 @@
 	DaemonStopping bool
 }
 
+// Progress holds the times since Sent at which the client had a connection, had written
+// the request and got the first byte of the response, or 0. With the times in the
+// daemon's log they tell whether the daemon or the client was held up.
+type Progress struct {
+	Connected, Written, FirstByte time.Duration
+}
+
+// String returns the times.
+func (p Progress) String() string {
+	return fmt.Sprintf("connected after %v, written after %v, first byte after %v", p.Connected, p.Written, p.FirstByte)
+}
+
 // Start records one run of a target, from its start to its end.
 type Start struct {
 	Service  string
@@ -176,6 +189,9 @@
 	return violations
 }
 
+// timeOfDay is the format of times in violations. Daemons log the time in UTC, too.
+const timeOfDay = "15:04:05.000"
+
 // checkArrival compares an arrival with the request that the client sent.
 func (l *Ledger) checkArrival(start Start, a emulator.Arrival) []string {
 	r, ok := l.requests[a.ID]
@@ -197,6 +213,7 @@
 	addViolation := func(format string, args ...any) {
 		violations = append(violations, r.Call.ID+": "+fmt.Sprintf(format, args...))
 	}
+	sentAt := r.Sent.UTC().Format(timeOfDay)
 	if r.NonIdempotent && runs > 1 {
 		addViolation("twice: ran %d times and must not be repeated", runs)
 	}
@@ -210,12 +227,12 @@
 		}
 		notForwarded := r.DaemonStopping && len(instances) == 0 && r.Ended.Sub(sent) <= shutdownLossSlack
 		if !r.Excused && !notForwarded {
-			addViolation("lost: no answer from a daemon that was there, %v after the request was sent (whole: %v), arrived at %d targets: %v", r.Ended.Sub(sent), r.Written, len(instances), r.Err)
+			addViolation("lost: no answer from a daemon that was there, %v after the request was sent (whole: %v), sent at %s, %v, arrived at %d targets: %v", r.Ended.Sub(sent), r.Written, sentAt, r.Progress, len(instances), r.Err)
 		}
 		return violations
 	}
 	if elapsed := r.Ended.Sub(r.Sent); elapsed > r.Call.Timeout+responseSlack && !r.Excused {
-		addViolation("late: answered %d after %v of %v", r.Reply.Status, elapsed, r.Call.Timeout)
+		addViolation("late: answered %d after %v of %v, sent at %s, %v", r.Reply.Status, elapsed, r.Call.Timeout, sentAt, r.Progress)
 	}
 	switch {
 	case r.Reply.RetryAfter != "" && runs > 0:
--- a/internal/soaker/ledger_test.go
+++ b/internal/soaker/ledger_test.go
@@ -259,3 +259,31 @@
 	}
 	return requests
 }
+
+// TestViolationTellsProgress guards against late or lost requests that no log explains.
+func TestViolationTellsProgress(t *testing.T) {
+	late := answeredRequest("a")
+	late.Ended = noon.Add(1400 * time.Millisecond)
+	lost := answeredRequest("b")
+	lost.Err = errors.New("connection reset")
+	l := soaker.NewLedger()
+	for _, r := range []soaker.Request{late, lost} {
+		r.Progress = soaker.Progress{
+			Connected: time.Millisecond,
+			Written:   700 * time.Millisecond,
+			FirstByte: 1300 * time.Millisecond,
+		}
+		l.Add(r)
+	}
+	l.AddStart(targetStart(runArrival("a", 0)))
+	const want = "sent at 12:00:00.000, connected after 1ms, written after 700ms, first byte after 1.3s"
+	violations := l.Violations(time.Second)
+	if len(violations) != 2 {
+		t.Errorf("violations %q, want 2", violations)
+	}
+	for _, v := range violations {
+		if !strings.Contains(v, want) {
+			t.Errorf("violation %q, want it to contain %q", v, want)
+		}
+	}
+}
--- a/internal/soaker/node.go
+++ b/internal/soaker/node.go
@@ -305,13 +305,25 @@
 	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancel()
 	// The transport may still be writing when Do has returned.
-	var written atomic.Bool
+	var connected, written, firstByte atomic.Int64
+	since := func(d *atomic.Int64) { d.Store(int64(time.Since(req.Sent))) }
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(info httptrace.WroteRequestInfo) { written.Store(info.Err == nil) },
+		GotConn: func(httptrace.GotConnInfo) { since(&connected) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				since(&written)
+			}
+		},
+		GotFirstResponseByte: func() { since(&firstByte) },
 	})
 	req.Reply, req.Err = c.Do(ctx, req.Call)
 	req.Ended = time.Now()
-	req.Written = written.Load()
+	req.Written = written.Load() > 0
+	req.Progress = Progress{
+		Connected: time.Duration(connected.Load()),
+		Written:   time.Duration(written.Load()),
+		FirstByte: time.Duration(firstByte.Load()),
+	}
 	req.Excused = n.process.excusesFailure(req.Sent, req.Ended, errors.Is(req.Err, syscall.ECONNREFUSED))
 	req.DaemonStopping = n.process.stopping()
 	if req.Err != nil && !req.Excused {
