deliverer: check the target again when the body has arrived

Cause: the gate admits an attempt before its body is read. The daemon that sent it was paused between header and body (no line in its log from 39.150 to 39.515 s); the attempt was admitted 11 ms before the announcement, and passed on when the body came, without another look at the target. The same happened if another target had taken the address, or the target's data centre was evacuated meanwhile. The window is as long as a body may take, up to the attempt's deadline.

Evidence: TestTargetClosesDuringBody holds back the body while the target leaves, is replaced or closed. Before, in all three cases the request reached the target.

Change: after the body has arrived, an attempt whose target is gone, leaves or is closed is rejected as not run.

Measured: the test passes 5 of 5 runs with -race, and the tests of deliverer, admitter, carrier, sidecar and dispatcher once.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -213,6 +213,14 @@
 	return g.checkWait(r, g.Clock.Now())
 }
 
+// CheckAdmitted returns the rejection of a request that the target must no longer get,
+// although it was admitted, or nil.
+func (g *Gate) CheckAdmitted(instance string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.checkOpen(instance)
+}
+
 // checkWait rejects a request that the target must not get or that would queue
 // for too long.
 func (g *Gate) checkWait(r Request, now time.Time) error {
@@ -239,17 +247,27 @@
 // checkTarget rejects a request that the target must not get, regardless of its
 // free slots.
 func (g *Gate) checkTarget(r Request, now time.Time) error {
+	if err := g.checkOpen(r.Instance); err != nil {
+		return err
+	}
 	switch {
-	case g.target == nil || g.target.Instance != r.Instance:
+	case g.breaker.open(now):
+		return ErrBreakerOpen
+	case now.Add(time.Duration(minServiceFraction * float64(g.meanServiceTime(r.Rule)))).After(r.Deadline):
+		return ErrDeadline
+	}
+	return nil
+}
+
+// checkOpen rejects requests to an instance that is gone, leaves or is closed.
+func (g *Gate) checkOpen(instance string) error {
+	switch {
+	case g.target == nil || g.target.Instance != instance:
 		return ErrUnknownTarget
 	case g.target.ShuttingDown:
 		return ErrShuttingDown
 	case g.Closed(*g.target):
 		return ErrTargetClosed
-	case g.breaker.open(now):
-		return ErrBreakerOpen
-	case now.Add(time.Duration(minServiceFraction * float64(g.meanServiceTime(r.Rule)))).After(r.Deadline):
-		return ErrDeadline
 	}
 	return nil
 }
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -156,6 +156,9 @@
 	if forwarder.ClientGone(ctx) {
 		return nil, Result{Err: admitter.ErrCanceled, Aborted: true}
 	}
+	if err := d.Gate.CheckAdmitted(a.Instance); err != nil { // may have changed while the body arrived
+		return nil, Result{Err: err, Aborted: true}
+	}
 	done, err := d.BeforeForward(a)
 	if err != nil {
 		return nil, Result{Err: err, Aborted: true}
