soaker: don't count a request that was written after the daemon's close

What readers of a soak's result saw: "lost: no answer from a daemon that was there, 726ms after the request was sent: EOF", at daemons that stop or whose idle timeout has passed, of which the daemon's log has not read the request.

Cause: the check was wrong. The daemon had closed the connection before the client wrote, but the transport of a client that is short of processor time notices that late, takes the connection for open and writes. The rule does not count a request that crosses the close and is not passed on. The check excused it at stops only, and by the time that the client took.

Change: before the first part of a request is written, the client looks whether the daemon's close has arrived on the connection. A request for which it had, and which reached no target, is not lost. One of which a part was written before the close counts as before. The excuse by time is not changed.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
 // Client sends requests to one daemon like a client on the users' platform. It
@@ -25,8 +31,18 @@
 func NewClient(address string) *Client {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		address:   address,
-		transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true},
+		address: address,
+		transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &clientConn{Conn: conn}, nil
+			},
+			MaxIdleConnsPerHost: 1,
+			DisableCompression:  true,
+		},
 	}
 }
 
@@ -56,9 +72,50 @@
 	MatchesCall bool
 }
 
+// ErrClosedBefore is part of the error of a request that was written to a connection
+// after the daemon's close had arrived on it. A transport that is short of processor
+// time notices the close late.
+var ErrClosedBefore = Class.New("connection closed before the request was written")
+
+// clientConn is a connection that tells whether the daemon had closed it before a
+// request was written.
+type clientConn struct {
+	net.Conn
+	// begun means that a part of the current request has been written, and
+	// closedBefore that the daemon had closed the connection before that.
+	begun, closedBefore atomic.Bool
+}
+
+// begin begins a request.
+func (c *clientConn) begin() { c.begun.Store(false) }
+
+// Write looks for the daemon's close before the first part of a request.
+func (c *clientConn) Write(p []byte) (int, error) {
+	if !c.begun.Swap(true) {
+		_, err := forwarder.Peek(c.Conn, make([]byte, 1))
+		c.closedBefore.Store(errors.Is(err, io.EOF))
+	}
+	return c.Conn.Write(p)
+}
+
 // Do sends a call and returns its response. It returns an error if no complete
 // response arrived.
 func (c *Client) Do(ctx context.Context, call Call) (Reply, error) {
+	var conn *clientConn
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn.(*clientConn)
+			conn.begin()
+		},
+	})
+	reply, err := c.send(ctx, call)
+	if err != nil && conn != nil && conn.closedBefore.Load() {
+		err = fmt.Errorf("%w: %w", ErrClosedBefore, err)
+	}
+	return reply, err
+}
+
+func (c *Client) send(ctx context.Context, call Call) (Reply, error) {
 	// NopCloser hides the reader's type, so that NewRequest does not set GetBody.
 	// Without GetBody the transport does not retry a POST.
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+call.Path, io.NopCloser(strings.NewReader(call.Body)))
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -33,6 +33,9 @@
 	// DaemonStopping means that the daemon had been sent SIGTERM when the request
 	// ended.
 	DaemonStopping bool
+	// SentAfterClose means that the daemon had closed the connection before the
+	// request was written.
+	SentAfterClose bool
 }
 
 // Progress holds the times since Sent at which the client had a connection, had written
@@ -225,7 +228,8 @@
 		if !r.BodySent.IsZero() {
 			sent = r.BodySent
 		}
-		notForwarded := r.DaemonStopping && len(instances) == 0 && r.Ended.Sub(sent) <= shutdownLossSlack
+		crossedClose := r.SentAfterClose || r.DaemonStopping && r.Ended.Sub(sent) <= shutdownLossSlack
+		notForwarded := crossedClose && len(instances) == 0
 		if !r.Excused && !notForwarded {
 			addViolation("lost: no answer from a daemon that was there, %v after the request was sent (whole: %v), sent at %s, %v, arrived at %d targets: %v", r.Ended.Sub(sent), r.Written, sentAt, r.Progress, len(instances), r.Err)
 		}
--- a/internal/soaker/ledger_test.go
+++ b/internal/soaker/ledger_test.go
@@ -138,6 +138,22 @@
 				return r
 			}()},
 		},
+		"sent after the daemon closed the connection": {
+			requests: []soaker.Request{func() soaker.Request {
+				r := answeredRequest("a")
+				r.Err, r.SentAfterClose, r.Ended = errReset, true, noon.Add(250*time.Millisecond)
+				return r
+			}()},
+		},
+		"sent after the daemon closed the connection, and forwarded": {
+			requests: []soaker.Request{func() soaker.Request {
+				r := answeredRequest("a")
+				r.Err, r.SentAfterClose = errReset, true
+				return r
+			}()},
+			starts: []soaker.Start{targetStart(runArrival("a", 0))},
+			want:   "lost",
+		},
 		"response after the deadline": {
 			requests: []soaker.Request{func() soaker.Request {
 				r := answeredRequest("a")
--- a/internal/soaker/node.go
+++ b/internal/soaker/node.go
@@ -319,6 +319,7 @@
 	req.Reply, req.Err = c.Do(ctx, req.Call)
 	req.Ended = time.Now()
 	req.Written = written.Load() > 0
+	req.SentAfterClose = errors.Is(req.Err, emulator.ErrClosedBefore)
 	req.Progress = Progress{
 		Connected: time.Duration(connected.Load()),
 		Written:   time.Duration(written.Load()),
