--- a/internal/server/crashes.go
+++ b/internal/server/crashes.go
@@ -3,14 +3,14 @@
 import (
 	"context"
 	"crypto/subtle"
-	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
-	"syscall"
+	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 
@@ -23,12 +23,13 @@
 const crashMethod = "crash"
 
 const (
-	// crashTimeout limits how long a failed request's response waits for the
-	// service's daemons to receive the crash report.
+	// crashTimeout limits how long a failed request's response waits for the check
+	// whether the target has crashed, and then for the service's daemons to receive
+	// the crash report.
 	crashTimeout = 250 * time.Millisecond
-	// dialTimeout limits the connection attempt that checks whether a target
-	// still listens.
-	dialTimeout = 100 * time.Millisecond
+	// crashCheckTimeout limits that check. A target without heartbeats is removed
+	// after the same time.
+	crashCheckTimeout = heartbeatTimeout
 )
 
 // fingerprintKey is the context key of a request's fingerprint.
@@ -49,16 +50,20 @@
 		isolated, err := d.admitRequest(r.Header.Get(forwarder.ServiceHeader), fingerprint)
 		if err != nil {
 			metrics.GetOrRegisterCounter("target.quarantined", d.metrics).Inc(1)
+			d.log.Warn("quarantined request rejected", "request", requestID(r), "fingerprint", fingerprint, "err", err)
 			forwarder.Refuse(w, r, err)
 			return
 		}
 		if isolated {
+			d.log.Info("suspected request runs alone", "request", requestID(r), "fingerprint", fingerprint)
 			defer d.crashes.EndIsolation()
 		}
 		h.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), fingerprintKey{}, fingerprint)))
 	})
 }
 
+func requestID(r *http.Request) string { return r.Header.Get(forwarder.RequestIDHeader) }
+
 func (d *Daemon) admitRequest(service, fingerprint string) (isolated bool, err error) {
 	if _, ok := d.facts.Get(spreader.Quarantined, service+"/"+fingerprint); ok {
 		return false, quarantiner.ErrQuarantined
@@ -82,17 +87,28 @@
 
 // RoundTrip sends one request. If the connection fails, it checks whether the
 // target has crashed. It then returns only after the service's daemons have
-// received the report, or after crashTimeout.
+// received the report, or after crashTimeout. The request is in flight once it has
+// a connection; one whose connection is refused cannot have crashed the target.
 func (t crashTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	fingerprint, ok := r.Context().Value(fingerprintKey{}).(string)
 	if !ok {
 		return t.RoundTripper.RoundTrip(r)
 	}
-	t.daemon.crashes.RequestStarted(fingerprint)
-	resp, err := t.RoundTripper.RoundTrip(r)
+	var started atomic.Bool
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			if !started.Swap(true) {
+				t.daemon.crashes.RequestStarted(fingerprint)
+			}
+		},
+	})
+	resp, err := t.RoundTripper.RoundTrip(r.WithContext(ctx))
 	if err != nil {
-		t.daemon.checkCrash(r)
-		t.daemon.crashes.RequestEnded(fingerprint, false)
+		t.daemon.connectionBroke(r, err, func() {
+			if started.Load() {
+				t.daemon.crashes.RequestEnded(fingerprint, false)
+			}
+		})
 		return nil, err
 	}
 	resp.Body = &watchedBody{
@@ -134,49 +150,82 @@
 func (b *watchedBody) end(err error) {
 	b.once.Do(func() {
 		if err != nil && err != io.EOF {
-			b.daemon.checkCrash(b.request)
+			b.daemon.connectionBroke(b.request, err, func() { b.daemon.crashes.RequestEnded(b.fingerprint, false) })
+			return
 		}
 		b.daemon.crashes.RequestEnded(b.fingerprint, err == io.EOF && !b.failed)
 	})
 }
 
-// checkCrash checks whether the target has crashed. If so, it sends the fingerprints
-// of the requests in flight to the other daemons of the service.
-func (d *Daemon) checkCrash(r *http.Request) {
-	if r.Context().Err() != nil || isListening(r.URL.Host) {
+// connectionBroke checks whether the target has crashed, after the connection of a
+// request broke with err or was refused, and then calls end. It returns after
+// crashTimeout if the check takes longer; until end is called, the request counts as
+// in flight.
+func (d *Daemon) connectionBroke(r *http.Request, err error, end func()) {
+	logger := d.log.With("request", requestID(r), "fingerprint", r.Context().Value(fingerprintKey{}))
+	l := d.local.Load()
+	if r.Context().Err() != nil || l == nil {
+		logger.Debug("request to the target ended", "err", err)
+		end()
 		return
 	}
+	checked, reported := make(chan struct{}), make(chan struct{})
+	address := r.URL.Host
+	go func() {
+		defer close(reported)
+		defer end()
+		start := d.clock.Now()
+		exited, checkErr := d.targetExited(address)
+		logger.Warn("connection to the target broke", "err", err, "listening", !exited, "check", checkErr, "took", d.clock.Now().Sub(start))
+		close(checked)
+		if exited {
+			d.reportCrash(l.Service, logger)
+		}
+	}()
+	timer := time.NewTimer(d.crashWait)
+	defer timer.Stop()
+	select {
+	case <-checked:
+		<-reported
+	case <-timer.C:
+	}
+}
+
+// targetExited reports whether the target has exited. The error is set if that is
+// not known after crashCheckTimeout.
+func (d *Daemon) targetExited(address string) (bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	check := forwarder.ExitCheck{
+		Address: address,
+		Ping:    true,
+	}
+	return check.Exited(ctx)
+}
+
+// reportCrash sends the fingerprints of the requests in flight at the target's crash
+// to the other daemons of the service.
+func (d *Daemon) reportCrash(service string, logger *log.Logger) {
 	d.crashReportMu.Lock()
 	defer d.crashReportMu.Unlock()
 	fingerprints := d.crashes.TargetDied()
-	l := d.local.Load()
-	if len(fingerprints) == 0 || l == nil {
+	if len(fingerprints) == 0 {
+		logger.Debug("target's death not reported", "suspects", 0)
 		return
 	}
 	report := quarantiner.Report{
-		Service:      l.Service,
+		Service:      service,
 		Death:        uuid.NewString(),
 		Fingerprints: fingerprints,
 	}
 	metrics.GetOrRegisterCounter("target.deaths", d.metrics).Inc(1)
-	d.log.Warn("target died", "suspects", len(fingerprints))
+	logger.Warn("target died", "death", report.Death, "suspects", len(fingerprints))
 	for _, fingerprint := range d.crashes.AddReport(report) {
 		d.publishFact(spreader.Quarantined, report.Service+"/"+fingerprint, "crashed its targets", quarantiner.QuarantineTTL)
 	}
 	d.sendCrashReport(report)
 }
 
-// isListening reports whether the target may still be running. Only a refused
-// connection shows that it is not.
-func isListening(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return true
-	}
-	return !errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // sendCrashReport sends a crash report to the other daemons of the service. It
 // waits for them for at most crashTimeout.
 func (d *Daemon) sendCrashReport(r quarantiner.Report) {
@@ -190,7 +239,7 @@
 		calls.Go(func() {
 			var done Done
 			if err := d.client.Call(ctx, m.Control, crashMethod, r, &done); err != nil {
-				d.log.Debug("cannot send crash report", "peer", m.ID, "err", err)
+				d.log.Warn("cannot send crash report", "peer", m.ID, "death", r.Death, "err", err)
 			}
 		})
 	}
@@ -202,6 +251,7 @@
 	if len(r.Fingerprints) > quarantiner.MaxSuspectsPerDeath || len(r.Death) > quarantiner.MaxFingerprint {
 		return Done{}, Class.New("report of a death out of bounds")
 	}
-	d.crashes.AddReport(r)
+	quarantined := d.crashes.AddReport(r)
+	d.log.Info("crash reported", "service", r.Service, "death", r.Death, "suspects", len(r.Fingerprints), "quarantined", len(quarantined))
 	return Done{Done: true}, nil
 }
