emulator: count a request of which nothing was written as sent after the close

Cause: the look for the daemon's close came with the first write, and only an EOF counted. A transport that notices the close itself does not write at all, or has closed its side when it does. "Written" is when the request was in the transport's buffer, which comes before the write to the connection, so it shows no more.

Evidence: the daemon, north-20, closed its idle connections at 25.484 s; the clients, which had dialed at 25.28 to 25.46, got their connections at 25.467 to 25.795 and their EOF at 25.749 to 25.843. The daemon's log has no discarded bytes for any of the five, so nothing arrived. Two new cases of TestClosedBefore fail with the former conditions.

Change: a request counts as sent after the close if the first write found the connection closed in any way, or if there was no write. The other cases, a part written before the close among them, are as before.

--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -72,32 +71,36 @@
 	MatchesCall bool
 }
 
-// ErrClosedBefore is part of the error of a request that was written to a connection
-// after the daemon's close had arrived on it. A transport that is short of processor
-// time notices the close late.
+// ErrClosedBefore is part of the error of a request of which nothing was written before
+// the connection was closed. A transport that is short of processor time notices late
+// that the daemon has closed it.
 var ErrClosedBefore = Class.New("connection closed before the request was written")
 
-// clientConn is a connection that tells whether the daemon had closed it before a
-// request was written.
+// clientConn is a connection that tells whether it was closed before a request was
+// written.
 type clientConn struct {
 	net.Conn
-	// begun means that a part of the current request has been written, and
-	// closedBefore that the daemon had closed the connection before that.
+	// begun means that a part of the current request was to be written, and
+	// closedBefore that the connection had been closed before that.
 	begun, closedBefore atomic.Bool
 }
 
 // begin begins a request.
 func (c *clientConn) begin() { c.begun.Store(false) }
 
-// Write looks for the daemon's close before the first part of a request.
+// Write looks for a close before the first part of a request.
 func (c *clientConn) Write(p []byte) (int, error) {
 	if !c.begun.Swap(true) {
 		_, err := forwarder.Peek(c.Conn, make([]byte, 1))
-		c.closedBefore.Store(errors.Is(err, io.EOF))
+		c.closedBefore.Store(err != nil)
 	}
 	return c.Conn.Write(p)
 }
 
+// wroteNothing reports whether nothing of the current request was written before the
+// connection was closed. It must be called after the request has failed.
+func (c *clientConn) wroteNothing() bool { return !c.begun.Load() || c.closedBefore.Load() }
+
 // Do sends a call and returns its response. It returns an error if no complete
 // response arrived.
 func (c *Client) Do(ctx context.Context, call Call) (Reply, error) {
@@ -109,7 +112,7 @@
 		},
 	})
 	reply, err := c.send(ctx, call)
-	if err != nil && conn != nil && conn.closedBefore.Load() {
+	if err != nil && conn != nil && conn.wroteNothing() {
 		err = fmt.Errorf("%w: %w", ErrClosedBefore, err)
 	}
 	return reply, err
--- a/internal/emulator/client_test.go
+++ b/internal/emulator/client_test.go
@@ -13,13 +13,15 @@
 // TestClosedBefore checks that only a close before the first part of a request counts.
 func TestClosedBefore(t *testing.T) {
 	for name, test := range map[string]struct {
-		earlier, begun bool
-		want           bool
+		earlier, begun, closed, unwritten bool
+		want                              bool
 	}{
 		"before the first request":  {want: true},
 		"before the second request": {earlier: true, want: true},
 		"after a part was written":  {begun: true},
 		"in the second request":     {earlier: true, begun: true},
+		"noticed by the transport":  {earlier: true, closed: true, want: true},
+		"before any write":          {earlier: true, unwritten: true, want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -62,9 +64,14 @@
 					t.Fatal("no close has arrived")
 				}
 			}
-			write("two")
-			if got := c.closedBefore.Load(); got != test.want {
-				t.Errorf("closed before: %v, want %v", got, test.want)
+			if test.closed {
+				_ = c.Close()
+			}
+			if !test.unwritten {
+				_, _ = io.WriteString(c, "two")
+			}
+			if got := c.wroteNothing(); got != test.want {
+				t.Errorf("wrote nothing: %v, want %v", got, test.want)
 			}
 		})
 	}
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -33,14 +33,14 @@
 	// DaemonStopping means that the daemon had been sent SIGTERM when the request
 	// ended.
 	DaemonStopping bool
-	// SentAfterClose means that the daemon had closed the connection before the
-	// request was written.
+	// SentAfterClose means that the connection was closed before a part of the request
+	// was written.
 	SentAfterClose bool
 }
 
 // Progress holds the times since Sent at which the client had a connection, had written
-// the request and got the first byte of the response, or 0. With the times in the
-// daemon's log they tell whether the daemon or the client was held up.
+// the request, if only to its buffer, and got the first byte of the response, or 0. With
+// the times in the daemon's log they tell whether the daemon or the client was held up.
 type Progress struct {
 	Connected, Written, FirstByte time.Duration
 }
