sidecar: see a crash while the target still exits

A process that exits may close its connections before its listening socket, so the request that crashed it had ended by the time that the next one was refused, and wasn't suspect.

Here the daemon can't ask the target whether it runs: each connection may hold a slot, connections are bounded and the answer would wait for a slot. Instead a request whose connection was lost stays a possible cause for a second, the time within which broken connections count as one crash. If a request is refused a connection in that time, it is reported as suspect. A target that gets no request in that second, and none while it is down, is not covered. Each lost connection is logged with what the attempt found.

New tests of the core: TestBrokenRequestIsSuspect, and TestConnectionsBrokenInOneCrashCountOnce against counting one crash twice.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -57,6 +57,12 @@
 	expires time.Time
 }
 
+// brokenRequest is a request whose connection to the target broke.
+type brokenRequest struct {
+	fingerprint string
+	at          time.Time
+}
+
 // Quarantiner tracks the requests of one target and the suspects of its
 // service. It is safe for concurrent use.
 type Quarantiner struct {
@@ -66,6 +72,9 @@
 	suspects map[string]*suspect
 	// inFlight counts the requests in flight at the target by fingerprint.
 	inFlight map[string]int
+	// broken holds the requests whose connection broke within crashWindow while the
+	// target still listened, oldest first.
+	broken []brokenRequest
 	// isolated is true while a suspected request runs at the target. No second
 	// one is admitted in that time.
 	isolated bool
@@ -159,10 +168,38 @@
 	q.successes[fingerprint] = true
 }
 
-// TargetDied returns the fingerprints in flight at the target's crash that have
-// not succeeded recently, at most MaxSuspectsPerDeath. Several connections may
-// break in one crash; only the first call within crashWindow that finds any returns
-// them.
+// RequestBroke records that a request at the target has ended because its connection
+// broke. If a crash is seen within crashWindow, the request is a suspect: a process
+// that exits may close its connections before its listening socket.
+func (q *Quarantiner) RequestBroke(fingerprint string) {
+	q.RequestEnded(fingerprint, false)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	if now.Sub(q.lastCrash) < crashWindow {
+		return
+	}
+	q.removeOldBroken(now)
+	if len(q.broken) >= MaxSuspectsPerDeath {
+		q.broken = q.broken[1:]
+	}
+	q.broken = append(q.broken, brokenRequest{
+		fingerprint: fingerprint,
+		at:          now,
+	})
+}
+
+// removeOldBroken removes the requests whose connection broke crashWindow ago.
+func (q *Quarantiner) removeOldBroken(now time.Time) {
+	for len(q.broken) > 0 && now.Sub(q.broken[0].at) >= crashWindow {
+		q.broken = q.broken[1:]
+	}
+}
+
+// TargetDied returns the fingerprints in flight at the target's crash, or whose
+// connection broke within crashWindow before, that have not succeeded recently, at
+// most MaxSuspectsPerDeath. Several connections may break in one crash; only the first
+// call within crashWindow that finds any returns them.
 func (q *Quarantiner) TargetDied() []string {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -170,14 +207,23 @@
 	if now.Sub(q.lastCrash) < crashWindow {
 		return nil
 	}
-	var fingerprints []string
+	q.removeOldBroken(now)
+	suspects := map[string]bool{}
+	for _, b := range q.broken {
+		suspects[b.fingerprint] = true
+	}
 	for fingerprint := range q.inFlight {
+		suspects[fingerprint] = true
+	}
+	var fingerprints []string
+	for fingerprint := range suspects {
 		if !q.hasSucceeded(fingerprint) && len(fingerprints) < MaxSuspectsPerDeath {
 			fingerprints = append(fingerprints, fingerprint)
 		}
 	}
 	if len(fingerprints) > 0 {
 		q.lastCrash = now
+		q.broken = nil
 	}
 	return fingerprints
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -76,6 +76,44 @@
 	}
 }
 
+// TestBrokenRequestIsSuspect breaks the connection of a request some time before the
+// target is seen to have crashed.
+func TestBrokenRequestIsSuspect(t *testing.T) {
+	for _, c := range []struct {
+		before time.Duration
+		want   []string
+	}{
+		{before: 100 * time.Millisecond, want: []string{"crash"}},
+		{before: time.Minute},
+	} {
+		clock := timekeeper.NewVirtual(start)
+		q := quarantiner.New(clock)
+		q.RequestStarted("crash")
+		q.RequestBroke("crash")
+		clock.Advance(c.before)
+		if suspects := q.TargetDied(); !slices.Equal(suspects, c.want) {
+			t.Errorf("%v after the connection broke: TargetDied() = %v, want %v", c.before, suspects, c.want)
+		}
+	}
+}
+
+func TestConnectionsBrokenInOneCrashCountOnce(t *testing.T) {
+	clock := timekeeper.NewVirtual(start)
+	q := quarantiner.New(clock)
+	q.RequestStarted("crash")
+	q.RequestStarted("harmless")
+	q.RequestBroke("crash")
+	if suspects := q.TargetDied(); len(suspects) != 2 {
+		t.Errorf("TargetDied() = %v, want both requests", suspects)
+	}
+	clock.Advance(500 * time.Millisecond)
+	q.RequestBroke("harmless")
+	clock.Advance(600 * time.Millisecond)
+	if suspects := q.TargetDied(); suspects != nil {
+		t.Errorf("at the next refused request: TargetDied() = %v, want nil", suspects)
+	}
+}
+
 // TestHotRequestIsNeverSuspect checks that a frequent request that succeeds
 // never becomes a suspect, even when so many others succeed in between that old
 // fingerprints are removed.
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -47,20 +47,24 @@
 	d.quarantine.RequestStarted(fp)
 	return func(connectionLost bool) {
 		if connectionLost {
-			d.connectionLost(a.Service)
+			d.connectionLost(a, fp)
+		} else {
+			d.quarantine.RequestEnded(fp, true)
 		}
-		d.quarantine.RequestEnded(fp, !connectionLost)
 		if isolated {
 			d.quarantine.EndIsolation()
 		}
 	}, nil
 }
 
-// connectionLost handles the loss of a connection to the target. If the target has
-// crashed, it makes the gate treat the target as cold and sends the fingerprints of
-// the requests that may have caused the crash to the other daemons.
-func (d *Daemon) connectionLost(service string) {
-	if isListening(d.sidecar.Target) {
+// connectionLost ends a request whose connection to the target was lost. If the
+// target has crashed, it makes the gate treat the target as cold and sends the
+// fingerprints of the requests that may have caused the crash to the other daemons.
+func (d *Daemon) connectionLost(a *carrier.Attempt, fp string) {
+	defer d.quarantine.RequestBroke(fp)
+	listening := isListening(d.sidecar.Target)
+	d.log.Info("connection to the target lost", "request", a.ID, "print", fp, "listening", listening)
+	if listening {
 		return
 	}
 	d.gate.SuspectCold()
@@ -69,12 +73,12 @@
 		return
 	}
 	report := quarantiner.Report{
-		Service:      service,
+		Service:      a.Service,
 		Death:        uuid.NewString(),
 		Fingerprints: fingerprints,
 	}
 	d.incrementCounter("target.deaths")
-	d.log.Warn("target died", "service", service, "suspects", len(fingerprints))
+	d.log.Warn("target died", "service", a.Service, "suspects", len(fingerprints))
 	d.recordCrash(report)
 	d.callMembers(crashMethod, report)
 }
@@ -96,7 +100,8 @@
 }
 
 // isListening reports whether the target may still be running. It returns false
-// only if the connection is refused.
+// only if the connection is refused. A target that exits may still listen when its
+// connections are closed.
 func isListening(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, crashCheckTimeout)
 	if err == nil {
