sidecar: a cancelled request is no success

A request that its client cancelled, that ran out of time or that was given up for another reason counted as one that has succeeded at the target, and such a request is never suspect: one that crashes targets some time after its client has left, or that left once while it waited, was not refused at that daemon any more however often it crashed its target.

Cause: everything but a lost connection was taken for a success. Only a complete response is one now; the deliverer passes the result on.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -38,9 +38,10 @@
 	Codec  Codec
 	Clock  timekeeper.Clock
 	// BeforeForward is called before an attempt is forwarded and may reject it with an
-	// error. Otherwise done is called when the attempt has ended. connectionFailed
-	// reports whether the connection to the target broke or was refused.
-	BeforeForward func(a *carrier.Attempt) (done func(connectionFailed bool), err error)
+	// error. Otherwise done is called with the result when the attempt has ended.
+	// connectionFailed reports whether the connection to the target broke or was
+	// refused.
+	BeforeForward func(a *carrier.Attempt) (done func(r Result, connectionFailed bool), err error)
 	// OnResult is called when an attempt that got a slot has ended, and OnRejected
 	// when an attempt was rejected before it got one.
 	OnResult   func(a *carrier.Attempt, r Result)
@@ -160,7 +161,7 @@
 	if err != nil {
 		return nil, Result{Err: err, Aborted: true}
 	}
-	defer func() { done(result.Err != nil && ctx.Err() == nil && isConnectionError(result.Err)) }()
+	defer func() { done(result, result.Err != nil && ctx.Err() == nil && isConnectionError(result.Err)) }()
 	carrier.Acknowledge(ctx)
 	var connected atomic.Bool
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/quarantiner"
 )
 
@@ -34,9 +35,9 @@
 
 // checkQuarantine rejects a request that is quarantined because it has crashed
 // targets. A suspected request runs isolated: only while no other suspected request
-// runs. The caller calls done after the attempt, with lost set if the connection to
-// the target was lost.
-func (d *Daemon) checkQuarantine(a *carrier.Attempt) (done func(lost bool), err error) {
+// runs. The caller calls done after the attempt, with connectionLost set if the
+// connection to the target was lost.
+func (d *Daemon) checkQuarantine(a *carrier.Attempt) (done func(r deliverer.Result, connectionLost bool), err error) {
 	fp := fingerprint(a)
 	isolated, err := d.quarantine.Admit(fp)
 	if err != nil {
@@ -45,11 +46,11 @@
 		return nil, err
 	}
 	d.quarantine.RequestStarted(fp)
-	return func(connectionLost bool) {
+	return func(r deliverer.Result, connectionLost bool) {
 		if connectionLost {
 			d.connectionLost(a, fp)
 		} else {
-			d.quarantine.RequestEnded(fp, true)
+			d.quarantine.RequestEnded(fp, r.Err == nil)
 		}
 		if isolated {
 			d.quarantine.EndIsolation()
