receiver: serve a request whose header has arrived when its timeout expires

A client whose header lay in the socket of a daemon that was held up for the rest of the header timeout got 408, although it had sent everything in time.

After a read deadline Read fails without a look at the socket. The wait for the next request had a look of its own since the requests lost at the idle timeout; the header and the body had none. forwarder.Read has it now, for every read of a client's connection: it returns what has arrived, and the deadline stays expired, so a header that really stalls still ends with 408. The size limits bound what a client can send after it.

--- a/internal/forwarder/clientgone.go
+++ b/internal/forwarder/clientgone.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -65,3 +68,19 @@
 		return n, nil
 	}
 }
+
+// Read reads from a connection. If the connection's read deadline has passed, it returns
+// data that has arrived by then, which the connection's own Read does not look for.
+func Read(conn net.Conn, p []byte) (int, error) {
+	n, err := conn.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if arrived, _ := Peek(conn, make([]byte, 1)); arrived == 0 {
+		return n, err
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	n, err = conn.Read(p)
+	_ = conn.SetReadDeadline(time.Now())
+	return n, err
+}
--- a/internal/receiver/close_test.go
+++ b/internal/receiver/close_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,6 +122,42 @@
 	}
 }
 
+// TestHeaderTimeoutServesRequestInSocket guards against a 408 for a header that has arrived.
+func TestHeaderTimeoutServesRequestInSocket(t *testing.T) {
+	limits := generousLimits
+	limits.HeaderTimeout = 100 * time.Millisecond
+	s := newServer(limits, func(context.Context, *receiver.Request) *receiver.Response {
+		return okResponse("answered")
+	})
+	const start = "GET / HTTP/1.1\r\n"
+	begun := make(chan struct{})
+	var once sync.Once
+	total := 0
+	address := serve(t, s, func(conn *net.TCPConn) net.Conn {
+		return &hookedConn{
+			TCPConn:   conn,
+			afterRead: func(n int) { total += n },
+			beforeRead: func(conn *net.TCPConn) {
+				if total < len(start) {
+					return
+				}
+				once.Do(func() {
+					close(begun)
+					awaitData(t, conn)
+					time.Sleep(2 * limits.HeaderTimeout)
+				})
+			},
+		}
+	})
+	conn, r := dial(t, address)
+	send(t, conn, start)
+	<-begun
+	send(t, conn, strings.TrimPrefix(getRequest("/"), start))
+	if resp, body := readResponse(t, r); resp.StatusCode != http.StatusOK || body != "answered" {
+		t.Errorf("status %d, response %q, want 200 and \"answered\"", resp.StatusCode, body)
+	}
+}
+
 // TestIdleTimeoutServesRequestInSocket guards against discarding an unread request.
 func TestIdleTimeoutServesRequestInSocket(t *testing.T) {
 	limits := generousLimits
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -68,7 +68,7 @@
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
-	limit := &limitedReader{Reader: conn}
+	limit := &limitedReader{conn: conn}
 	ctx, cancel := context.WithCancel(forwarder.WithConn(context.Background(), conn))
 	return &connection{
 		server:    s,
@@ -225,12 +225,7 @@
 func (c *connection) awaitRequest() error {
 	c.limit.remaining = c.server.Limits().HeaderBytes + readBufferSize
 	c.setIdleDeadline()
-	_, err := c.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.hasArrived() {
-		_ = c.conn.SetReadDeadline(time.Time{})
-		_, err = c.reader.Peek(1)
-	}
-	if err != nil {
+	if _, err := c.reader.Peek(1); err != nil {
 		return err
 	}
 	if !c.beginRequest() {
@@ -239,13 +234,6 @@
 	return nil
 }
 
-// hasArrived reports whether data has arrived that was not read. After a deadline,
-// Read does not look for it.
-func (c *connection) hasArrived() bool {
-	n, _ := forwarder.Peek(c.conn, make([]byte, 1))
-	return n > 0
-}
-
 // setIdleDeadline bounds the wait for a request if no response is pending. After
 // Stop, the wait ends at once.
 func (c *connection) setIdleDeadline() {
--- a/internal/receiver/limit.go
+++ b/internal/receiver/limit.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
-	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
 // errorResponse returns the response to a request that is not handled.
@@ -30,7 +32,7 @@
 
 // limitedReader returns errHeaderTooLarge once remaining bytes have been read.
 type limitedReader struct {
-	io.Reader
+	conn      net.Conn
 	remaining int
 	// err is the error of the last read.
 	err error
@@ -45,7 +47,7 @@
 		l.err = errHeaderTooLarge
 		return 0, l.err
 	}
-	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
+	n, err := forwarder.Read(l.conn, p[:min(len(p), l.remaining)])
 	l.remaining -= n
 	l.err = err
 	if n > 0 {
