sidecar: close client connections at every stop, whatever the grace

A daemon that was held up until its grace period had passed, or whose grace was at most 3.1 s, ended without closing its clients' connections: the loop of the shutdown was skipped. Requests on kept connections ended with the process, without an answer. A grace under 3.1 s was also overrun by the fixed 2.7 s of service, so that the kill came first.

Each pass of the loop now closes the connections before it may end the shutdown, and a pass that comes late, as after a pause, leaves the receiver the time that it takes to reject what has arrived and close (its linger, now exported, and two polls). The margin before the kill is a quarter of a grace under 1.6 s; the service after SIGTERM is half of what is left at most. At the users' grace of 6 s nothing changes.

TestShutdownWithShortGrace (1 s and 3 s) and TestShutdownHeldUpPastGrace fail before: the log has no "closing client connections", one connection is left, and the shutdown took 2.7 s of 1 s.

--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -28,10 +28,10 @@
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds the time to write one response.
 	writeTimeout = 10 * time.Second
-	// lingerTimeout is how long the server reads on after it has announced the
+	// LingerTimeout is how long the server reads on after it has announced the
 	// close to the client. Unread bytes would make the close reset the connection
 	// before the client has the response.
-	lingerTimeout = 500 * time.Millisecond
+	LingerTimeout = 500 * time.Millisecond
 )
 
 // exchange is a request with its pending response.
@@ -106,13 +106,13 @@
 }
 
 // linger reads and discards data until the client closes the connection, for at
-// most lingerTimeout, and returns the number of bytes. Without it, the close could
+// most LingerTimeout, and returns the number of bytes. Without it, the close could
 // reset the connection before the client has the last response.
 func (c *connection) linger() int64 {
 	if halfCloser, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite()
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = c.conn.SetReadDeadline(time.Now().Add(LingerTimeout))
 	n, _ := io.Copy(io.Discard, c.conn)
 	return n
 }
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
+	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 )
 
 // Timing of a graceful shutdown.
@@ -22,8 +23,11 @@
 	// plan is known.
 	defaultTimeout = time.Second
 	// killMargin is the time reserved at the end of the grace period, before the
-	// platform kills the process.
+	// platform kills the process. It is shorter for a short grace period.
 	killMargin = 400 * time.Millisecond
+	// closeTime is the time reserved for closing the connections of clients. Requests
+	// that have arrived by then are rejected.
+	closeTime = receiver.LingerTimeout + 2*shutdownPollInterval
 	// shutdownPollInterval is the interval at which the shutdown checks whether requests
 	// are in flight.
 	shutdownPollInterval = 50 * time.Millisecond
@@ -33,19 +37,28 @@
 // clients move to other daemons, then admits no further attempts at the local target.
 // It closes the connections of clients once no request is in flight, or once the time
 // left is shorter than the longest timeout, and returns when they have ended or the grace
-// period is nearly over.
+// period is nearly over. If the process was held up until then, it still closes them.
 func (d *Daemon) shutdown() {
+	grace := d.sidecar.GracePeriod.Duration
+	serviceTime := grace - min(killMargin, grace/4)
+	delay := max(0, min(unreadyDelay, serviceTime/2, serviceTime-closeTime))
 	startTime := d.clock.Now()
-	deadline := startTime.Add(d.sidecar.GracePeriod.Duration - killMargin)
+	deadline := startTime.Add(serviceTime)
 	d.stopping.Store(true)
 	d.receiver.Drain()
-	d.log.Info("stopping", "grace", d.sidecar.GracePeriod.Duration)
-	time.Sleep(unreadyDelay)
+	d.log.Info("stopping", "grace", grace)
+	time.Sleep(delay)
 	d.leave()
-	stopTime := deadline.Add(-d.longestTimeout())
+	stopTime := deadline.Add(-max(d.longestTimeout(), closeTime))
+	// wakeTime is the time at which the next pass of the loop is due.
+	wakeTime := startTime.Add(delay)
 	var idleSince time.Time
 	stopped := false
-	for now := d.clock.Now(); now.Before(deadline); now = d.clock.Now() {
+	for {
+		now := d.clock.Now()
+		if end := now.Add(closeTime); now.Sub(wakeTime) > closeTime && end.After(deadline) {
+			deadline = end
+		}
 		switch {
 		case d.receiver.BusyConnections() > 0 || d.servesAttempts():
 			idleSince = time.Time{}
@@ -61,7 +74,11 @@
 		if d.receiver.Ended() && !d.servesAttempts() {
 			return
 		}
+		if !now.Before(deadline) {
+			break
+		}
 		time.Sleep(shutdownPollInterval)
+		wakeTime = now.Add(shutdownPollInterval)
 	}
 	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running(), "peers", d.attemptConnections.count())
 	d.receiver.ReportOpen()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -49,6 +49,9 @@
 	store   string
 	nodes   []*node
 	logs    *lockedBuffer
+	// clock and grace are those of the daemons that are added.
+	clock timekeeper.Clock
+	grace time.Duration
 }
 
 // node is a daemon with its target.
@@ -86,6 +89,8 @@
 		t:       t,
 		records: emulator.NewRecords(timekeeper.System{}),
 		logs:    &lockedBuffer{},
+		clock:   timekeeper.System{},
+		grace:   6 * time.Second,
 	}
 	server := httptest.NewServer(m.records.Handler(basePath))
 	m.store = server.Listener.Addr().String()
@@ -161,7 +166,7 @@
 			Ready:       m.freeAddress(),
 			Metrics:     m.freeAddress(),
 			Heartbeat:   parser.Duration{Duration: heartbeat},
-			GracePeriod: parser.Duration{Duration: 6 * time.Second},
+			GracePeriod: parser.Duration{Duration: m.grace},
 			RetryRatio:  0.2,
 			RetrySlack:  60,
 			MemoryMiB:   256,
@@ -190,7 +195,7 @@
 	daemon := sidecar.New(sidecar.Options{
 		Settings: n.settings,
 		Platform: platform.NewAdapter(n.settings.Platform, n.settings.PlatformTimeout.Duration),
-		Clock:    timekeeper.System{},
+		Clock:    n.mesh.clock,
 		Log:      log.NewWithOptions(n.mesh.logs, log.Options{ReportTimestamp: true, Level: log.DebugLevel}),
 	})
 	go func() {
@@ -665,9 +670,10 @@
 	}
 }
 
-// TestShutdownWaitsForClientConnections guards against an exit before they are closed.
-func TestShutdownWaitsForClientConnections(t *testing.T) {
-	m := newMesh(t)
+// stopWithConnection stops a daemon that has an idle connection of a client, and checks
+// that it closes the connection before it ends.
+func stopWithConnection(t *testing.T, m *mesh, stop func(a *node)) {
+	t.Helper()
 	a := m.addNode("zilina", "renewal", "v1")
 	m.writePlan(1, safeRule)
 	m.waitFor("the daemon serves requests", func() bool { return a.sendRequest("GET", "/s/", "id", "").status == 200 })
@@ -676,7 +682,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
-	a.stop()
+	stop(a)
 	<-a.ended
 	if !strings.Contains(m.logs.String(), "closing client connections vm=zilina-1 dc=zilina connections=1 busy=0 idle=1") {
 		t.Error("the log does not have the connection that was open at the stop")
@@ -686,6 +692,51 @@
 	}
 }
 
+// TestShutdownWaitsForClientConnections guards against an exit before they are closed.
+func TestShutdownWaitsForClientConnections(t *testing.T) {
+	stopWithConnection(t, newMesh(t), func(a *node) { a.stop() })
+}
+
+// TestShutdownWithShortGrace guards against an exit without a stop of the receiver.
+func TestShutdownWithShortGrace(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 3 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			m := newMesh(t)
+			m.grace = grace
+			stopWithConnection(t, m, func(a *node) {
+				began := time.Now()
+				a.stop()
+				<-a.ended
+				if took := time.Since(began); took > grace {
+					t.Errorf("the shutdown took %v, want at most %v", took, grace)
+				}
+			})
+		})
+	}
+}
+
+// skippingClock is the system clock, ahead by an offset.
+type skippingClock struct {
+	offset atomic.Int64
+}
+
+// Now returns the time of the clock.
+func (c *skippingClock) Now() time.Time {
+	return time.Now().Add(time.Duration(c.offset.Load()))
+}
+
+// TestShutdownHeldUpPastGrace guards against an exit without a stop of the receiver.
+func TestShutdownHeldUpPastGrace(t *testing.T) {
+	m := newMesh(t)
+	clock := &skippingClock{}
+	m.clock = clock
+	stopWithConnection(t, m, func(a *node) {
+		a.stop()
+		m.waitFor("the daemon stops", func() bool { return strings.Contains(m.logs.String(), "stopping") })
+		clock.offset.Store(int64(m.grace))
+	})
+}
+
 // heldBody is a response body that is not read until release is closed.
 type heldBody struct {
 	io.ReadCloser
