tracker: see attempts that are read in part, and close their connections last

At a planned stop an attempt from another daemon could end without an answer: one whose header was half read when the process exited, and one in the backlog of the address for attempts, which the exit resets.

busyConnections asked the socket and the state that net/http reports, which changes to active only after the whole header was read. In between the bytes were neither unread nor an active request. Nothing looked at the backlog.

The new package tracker wraps the connections: a connection is busy from the first byte that was read until its response is written, and while bytes are unread. Its Stop accepts what is in the backlog before the listener is closed, and ends each connection on which nothing has arrived; the look after an expired deadline is forwarder.Read's. The shutdown calls it last, and ends when these connections have. The look at the backlog moved there from receiver, which uses the same Listener. HTTP/2 connections, which the daemons of the users' platform don't have, are not ended.

TestBusyConnectionsCountsUnreadRequest moved with the code and is TestBusyCountsUnreadRequest.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"net/http"
@@ -16,6 +17,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/tracker"
 )
 
 // Class is the class of the errors of this package.
@@ -66,7 +69,7 @@
 	stopped    atomic.Bool
 
 	mu          sync.Mutex
-	listeners   map[net.Listener]bool
+	listeners   map[*tracker.Listener]bool
 	connections map[*connection]bool
 	// bufferedBytes is the number of body bytes in memory.
 	bufferedBytes atomic.Int64
@@ -77,19 +80,17 @@
 // Serve serves the connections of a listener until ctx ends or Stop is called. After
 // Stop, it first accepts the connections that are established.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	l := &tracker.Listener{Listener: ln}
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
 	defer stop()
-	s.addListener(ln)
-	defer s.removeListener(ln)
+	s.addListener(l)
+	defer s.removeListener(l)
 	for {
-		conn, err := ln.Accept()
+		conn, err := l.Accept()
 		switch {
 		case err == nil:
 			s.serveConn(conn)
-		case ctx.Err() != nil:
-			return nil
-		case s.stopped.Load():
-			s.acceptBacklog(ln)
+		case ctx.Err() != nil, s.stopped.Load() && errors.Is(err, net.ErrClosed):
 			return nil
 		case isTemporary(err):
 			time.Sleep(acceptRetryDelay)
@@ -105,27 +106,10 @@
 	go c.serve()
 }
 
-// acceptBacklog accepts the connections that wait in a listener's backlog, and closes
-// the listener. Closing it resets those that are left.
-func (s *Server) acceptBacklog(ln net.Listener) {
-	defer ln.Close()
-	for hasBacklog(ln) {
-		_ = ln.(deadlineListener).SetDeadline(time.Now().Add(acceptTimeout))
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		s.serveConn(conn)
-	}
-}
-
 // acceptRetryDelay is the delay before the next accept after a temporary error,
 // such as a lack of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
 
-// acceptTimeout bounds an accept from the backlog of a listener that is closed next.
-const acceptTimeout = 100 * time.Millisecond
-
 // Drain starts a graceful shutdown: the server closes a connection after a response
 // if no other response is pending on it.
 func (s *Server) Drain() {
@@ -176,8 +160,8 @@
 	s.stopped.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for ln := range s.listeners {
-		interruptAccept(ln)
+	for l := range s.listeners {
+		l.Stop()
 	}
 	for c := range s.connections {
 		c.setIdleDeadline()
@@ -192,22 +176,22 @@
 	return s.stopped.Load() && len(s.listeners) == 0 && len(s.connections) == 0
 }
 
-func (s *Server) addListener(ln net.Listener) {
+func (s *Server) addListener(l *tracker.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.listeners == nil {
-		s.listeners = map[net.Listener]bool{}
+		s.listeners = map[*tracker.Listener]bool{}
 	}
-	s.listeners[ln] = true
+	s.listeners[l] = true
 	if s.stopped.Load() {
-		interruptAccept(ln)
+		l.Stop()
 	}
 }
 
-func (s *Server) removeListener(ln net.Listener) {
+func (s *Server) removeListener(l *tracker.Listener) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.listeners, ln)
+	delete(s.listeners, l)
 }
 
 func (s *Server) addConnection(c *connection) {
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -1,12 +1,8 @@
 package sidecar
 
 import (
-	"net"
-	"net/http"
-	"sync"
 	"time"
 
-	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 )
 
@@ -37,7 +33,8 @@
 // clients move to other daemons, then admits no further attempts at the local target.
 // It closes the connections of clients once no request is in flight, or once the time
 // left is shorter than the longest timeout, and returns when they have ended or the grace
-// period is nearly over. If the process was held up until then, it still closes them.
+// period is nearly over. The connections of other daemons are closed last. If the process
+// was held up until then, it still closes all of them.
 func (d *Daemon) shutdown() {
 	grace := d.sidecar.GracePeriod.Duration
 	serviceTime := grace - min(killMargin, grace/4)
@@ -71,7 +68,10 @@
 			d.stopReceiver()
 			stopped = true
 		}
-		if d.receiver.Ended() && !d.servesAttempts() {
+		if (d.receiver.Ended() && !d.servesAttempts()) || !now.Before(deadline.Add(-closeTime)) {
+			d.attempts.Stop()
+		}
+		if d.receiver.Ended() && d.gate.Running() == 0 && d.attempts.Ended() {
 			return
 		}
 		if !now.Before(deadline) {
@@ -80,14 +80,14 @@
 		time.Sleep(shutdownPollInterval)
 		wakeTime = now.Add(shutdownPollInterval)
 	}
-	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running(), "peers", d.attemptConnections.count())
+	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running(), "peers", d.attempts.Busy())
 	d.receiver.ReportOpen()
 }
 
 // servesAttempts reports whether an attempt runs at the local target, or another daemon
 // does not have its response yet.
 func (d *Daemon) servesAttempts() bool {
-	return d.gate.Running() > 0 || d.attemptConnections.count() > 0
+	return d.gate.Running() > 0 || d.attempts.Busy() > 0
 }
 
 // stopReceiver stops the server of client connections, and logs the connections that
@@ -106,44 +106,3 @@
 	}
 	return p.LongestTimeout()
 }
-
-// busyConnections counts the connections of an HTTP server on which a request has
-// arrived and its response has not been written.
-type busyConnections struct {
-	mu sync.Mutex
-	// connections holds the state of each connection that has not ended.
-	connections map[net.Conn]http.ConnState
-}
-
-// update is the ConnState function of the server.
-func (b *busyConnections) update(conn net.Conn, state http.ConnState) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch state {
-	case http.StateClosed, http.StateHijacked:
-		delete(b.connections, conn)
-	default:
-		if b.connections == nil {
-			b.connections = map[net.Conn]http.ConnState{}
-		}
-		b.connections[conn] = state
-	}
-}
-
-// count also looks for requests that the server has not begun to read.
-func (b *busyConnections) count() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	busy := 0
-	var p [1]byte
-	for conn, state := range b.connections {
-		if state == http.StateActive {
-			busy++
-			continue
-		}
-		if n, _ := forwarder.Peek(conn, p[:]); n > 0 {
-			busy++
-		}
-	}
-	return busy
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -35,6 +35,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/spreader"
 	"github.com/coltsfootlane/coltsfootlane/internal/storer"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
+	"github.com/coltsfootlane/coltsfootlane/internal/tracker"
 )
 
 // Class is the class of the errors of this package.
@@ -183,9 +184,9 @@
 	// memberCallSem limits the membership calls in progress.
 	memberCallSem chan struct{}
 	// attemptServer handles attempts that other daemons forward to the target, and
-	// attemptConnections counts the connections on which it does.
-	attemptServer      *carrier.Server
-	attemptConnections busyConnections
+	// attempts tracks the connections on which it does.
+	attemptServer *carrier.Server
+	attempts      tracker.Tracker
 }
 
 // Limits of connections, calls and memory.
@@ -378,9 +379,8 @@
 	listeners := map[string]func(context.Context, net.Listener) error{
 		d.settings.Listen.Traffic: d.receiver.Serve,
 		d.settings.Listen.Admit: serveHTTP(&http.Server{
-			Handler:   d.attemptServer,
-			ConnState: d.attemptConnections.update,
-		}),
+			Handler: d.attemptServer,
+		}, d.attempts.Serve),
 		d.settings.Listen.Control:  d.control.Serve,
 		d.settings.Listen.Operator: serveCalls(d.serveReport),
 		d.sidecar.Ready:            serveCalls(d.serveReady),
@@ -409,7 +409,7 @@
 	}
 	d.shutdown()
 	open, busy := d.receiver.Connections()
-	d.log.Info("daemon stopped", "connections", open, "busy", busy, "running", d.gate.Running(), "peers", d.attemptConnections.count())
+	d.log.Info("daemon stopped", "connections", open, "busy", busy, "running", d.gate.Running(), "peers", d.attempts.Busy())
 	return nil
 }
 
@@ -419,17 +419,17 @@
 	return serveHTTP(&http.Server{
 		Handler:     h,
 		ReadTimeout: callReadTimeout,
-	})
+	}, (*http.Server).Serve)
 }
 
-// serveHTTP returns a function that runs an HTTP server until its context ends.
-func serveHTTP(srv *http.Server) func(context.Context, net.Listener) error {
+// serveHTTP returns a function that runs an HTTP server by serve until its context ends.
+func serveHTTP(srv *http.Server, serve func(*http.Server, net.Listener) error) func(context.Context, net.Listener) error {
 	srv.ReadHeaderTimeout = 5 * time.Second
 	srv.IdleTimeout = time.Minute
 	srv.ConnContext = forwarder.WithConn
 	return func(ctx context.Context, ln net.Listener) error {
 		context.AfterFunc(ctx, func() { _ = srv.Close() })
-		if err := srv.Serve(ln); err != http.ErrServerClosed {
+		if err := serve(srv, ln); err != http.ErrServerClosed {
 			return err
 		}
 		return nil
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -737,6 +738,40 @@
 	})
 }
 
+// TestShutdownWaitsForAttemptInPart guards against an exit while its header is read.
+func TestShutdownWaitsForAttemptInPart(t *testing.T) {
+	m := newMesh(t)
+	a := m.addNode("zilina", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitFor("the daemon serves requests", func() bool { return a.sendRequest("GET", "/s/", "id", "").status == 200 })
+	conn, err := net.Dial("tcp", a.settings.Listen.Admit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, "GET /s/ HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	a.stop()
+	select {
+	case <-a.ended:
+		t.Error("the daemon ended while a header was read")
+	case <-time.After(3500 * time.Millisecond):
+	}
+	if _, err := io.WriteString(conn, "Host: a.example\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no response: %v", err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503 for a wrong key", resp.StatusCode)
+	}
+	<-a.ended
+}
+
 // heldBody is a response body that is not read until release is closed.
 type heldBody struct {
 	io.ReadCloser
--- a/internal/sidecar/shutdown_test.go
+++ b/internal/tracker/unread_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package tracker
 
 import (
 	"net"
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// TestBusyConnectionsCountsUnreadRequest guards against an exit with an attempt unread.
-func TestBusyConnectionsCountsUnreadRequest(t *testing.T) {
-	var b busyConnections
+// TestBusyCountsUnreadRequest guards against an exit with an attempt unread.
+func TestBusyCountsUnreadRequest(t *testing.T) {
+	var b Tracker
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -20,27 +20,29 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = client.Close() }()
-	conn, err := ln.Accept()
+	accepted, err := ln.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
+	conn := &connection{TCPConn: accepted.(*net.TCPConn)}
 	defer func() { _ = conn.Close() }()
+	b.addConnection(conn)
 	b.update(conn, http.StateNew)
 	b.update(conn, http.StateActive)
 	b.update(conn, http.StateIdle)
-	if n := b.count(); n != 0 {
+	if n := b.Busy(); n != 0 {
 		t.Errorf("%d busy connections, want 0 while idle", n)
 	}
 	if _, err := client.Write([]byte("GET / HTTP/1.1\r\n\r\n")); err != nil {
 		t.Fatal(err)
 	}
-	for end := time.Now().Add(10 * time.Second); b.count() != 1; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(10 * time.Second); b.Busy() != 1; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			t.Fatalf("%d busy connections, want 1 with a request that has arrived", b.count())
+			t.Fatalf("%d busy connections, want 1 with a request that has arrived", b.Busy())
 		}
 	}
 	b.update(conn, http.StateClosed)
-	if n := b.count(); n != 0 {
+	if n := b.Busy(); n != 0 {
 		t.Errorf("%d busy connections, want 0 after the close", n)
 	}
 }
