server: serve what has arrived before the daemon closes its connections

A request that had arrived in part on an idle kept connection when the daemon on coltsfootlane's own log was stopped ended without an answer, and so could one that lay in the socket unread.

http.Server.Shutdown closes connections that net/http counts as idle without a look at the socket, and its state is idle until a header was read whole. Shutdown also resets the backlog.

Listeners and HTTP/1.1 connections are now ended by tracker before Shutdown is called, and responses since the stop announce the close, so that clients don't use their connection again (HTTP/2 clients get GOAWAY). HTTP/2 connections are still closed by Shutdown.

--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/spreader"
 	"github.com/coltsfootlane/coltsfootlane/internal/storer"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
+	"github.com/coltsfootlane/coltsfootlane/internal/tracker"
 )
 
 // Class is the error class of this package.
@@ -237,28 +238,52 @@
 		protocols.SetHTTP1(true)
 		protocols.SetUnencryptedHTTP2(true)
 		srv := &http.Server{
-			Handler:           h,
+			Handler:           closeAfter(ctx, h),
 			Protocols:         protocols,
 			MaxHeaderBytes:    d.settings.Limits.MaxHeaderSize,
 			ReadHeaderTimeout: 10 * time.Second,
 			IdleTimeout:       2 * time.Minute,
 			ErrorLog:          d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		}
+		var connections tracker.Tracker
 		stopped := make(chan error, 1)
-		context.AfterFunc(ctx, func() { stopped <- d.shutdown(srv) })
-		if err := srv.Serve(ln); err != http.ErrServerClosed {
+		context.AfterFunc(ctx, func() { stopped <- d.shutdown(srv, &connections) })
+		if err := connections.Serve(srv, ln); err != nil && err != http.ErrServerClosed {
 			return Class.Wrap(err)
 		}
 		return <-stopped
 	}
 }
 
+// closeAfter returns a handler that closes its connections once ctx has ended.
+func closeAfter(ctx context.Context, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if ctx.Err() != nil {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// shutdownPollInterval is the interval at which shutdown looks for open connections.
+const shutdownPollInterval = 10 * time.Millisecond
+
 // shutdown announces that the daemon leaves, waits for leaveGrace, and then waits
-// for requests in flight for at most the drain timeout.
-func (d *Daemon) shutdown(srv *http.Server) error {
+// for requests in flight for at most the drain timeout. Shutdown of the server closes idle
+// HTTP/1.1 connections even if a request has arrived, so they end before it.
+func (d *Daemon) shutdown(srv *http.Server, connections *tracker.Tracker) error {
 	d.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Limits.DrainTimeout.Duration)
 	defer cancel()
+	connections.Stop()
+	ticker := time.NewTicker(shutdownPollInterval)
+	defer ticker.Stop()
+	for !connections.Ended() && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
 	return Class.Wrap(srv.Shutdown(ctx))
 }
 
