receiver, tracker: after a stop, wait for the first request of a new connection

A client that had just connected when the daemon closed its clients' connections had its connection ended before it could send its request. TestGracefulShutdown saw that as "server closed idle connection", 3 times in 20 runs on at a load of about 31.

A stop closed every connection on which nothing had arrived. For one in use between requests there is nothing better in HTTP/1.1. But a client connects because it has a request to send, so that its request is on the way.

After the stop a connection without a request so far now waits 0.2 s for the first, which gets its answer (503 from the receiver). It has no response that the close could reset, so it is closed without the linger.

TestStopAnswersFirstRequestOfConnection and TestStopServesFirstRequestOfConnection fail before, 3 of 3 runs each: unexpected EOF. With the change the tests of both packages and TestGracefulShutdown pass 20 of 20 times with the race detector, at a load of up to 109.

--- a/internal/receiver/accept_test.go
+++ b/internal/receiver/accept_test.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// TestStopAnswersFirstRequestOfConnection guards against closing it before the client has
+// sent the request for which it connected.
+func TestStopAnswersFirstRequestOfConnection(t *testing.T) {
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
+		return okResponse("")
+	})
+	conn, r := dial(t, serve(t, s, func(conn *net.TCPConn) net.Conn { return conn }))
+	waitForConnections(t, s, 1)
+	s.Stop()
+	time.Sleep(20 * time.Millisecond)
+	send(t, conn, getRequest("/"))
+	resp, _ := readResponse(t, r)
+	checkRejection(t, resp)
+}
+
 // TestEndedWaitsForConnectionBeingAccepted guards against an exit before it is counted.
 func TestEndedWaitsForConnectionBeingAccepted(t *testing.T) {
 	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response {
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -32,6 +32,9 @@
 	// close to the client. Unread bytes would make the close reset the connection
 	// before the client has the response.
 	LingerTimeout = 500 * time.Millisecond
+	// firstRequestTimeout is how long a connection without a request so far waits for
+	// one after Stop. A client sends a request as soon as it has connected.
+	firstRequestTimeout = 200 * time.Millisecond
 )
 
 // exchange is a request with its pending response.
@@ -58,6 +61,8 @@
 	// true while a request is being read or is in the buffer.
 	pending []*exchange
 	reading bool
+	// used means that a request was begun.
+	used bool
 	// closing is true when no response will follow the current one, or when the
 	// connection was aborted.
 	closing bool
@@ -98,7 +103,7 @@
 	<-writerDone
 	c.cancel()
 	discarded := int64(c.reader.Buffered())
-	if !clientGone {
+	if !clientGone && c.isUsed() {
 		discarded += c.linger()
 	}
 	c.discard(discarded)
@@ -117,6 +122,14 @@
 	return n
 }
 
+// isUsed reports whether a request was begun. Otherwise there is no response that a
+// close could reset.
+func (c *connection) isUsed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
 // busy reports whether a response is pending, a request is being read, or the
 // client may not have the last response yet.
 func (c *connection) busy() bool {
@@ -201,6 +214,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = !c.closing
+	c.used = true
 	return c.reading
 }
 
@@ -235,7 +249,7 @@
 }
 
 // setIdleDeadline bounds the wait for a request if no response is pending. After
-// Stop, the wait ends at once.
+// Stop, the wait ends at once unless it is for the first request.
 func (c *connection) setIdleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -243,8 +257,11 @@
 		return
 	}
 	deadline := time.Now()
-	if !c.server.stopped.Load() {
+	switch {
+	case !c.server.stopped.Load():
 		deadline = deadline.Add(c.server.Limits().IdleTimeout)
+	case !c.used:
+		deadline = deadline.Add(firstRequestTimeout)
 	}
 	_ = c.conn.SetReadDeadline(deadline)
 }
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -154,7 +154,8 @@
 // Stop closes the listeners and the idle connections. Requests that are in flight
 // or being read get their responses. Requests that have arrived without being read, or
 // arrive while a connection is still open, are rejected, and their connections closed.
-// Ended reports when all of this is done.
+// A connection without a request so far waits shortly for one. Ended reports when all of
+// this is done.
 func (s *Server) Stop() {
 	s.Drain()
 	s.stopped.Store(true)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -38,8 +38,8 @@
 }
 
 // Stop closes the listeners once the connections that are established have been
-// accepted, and each connection once no request has arrived on it. HTTP/2 connections
-// stay open.
+// accepted, and each connection once no request has arrived on it. A connection without a
+// request so far waits shortly for one. HTTP/2 connections stay open.
 func (t *Tracker) Stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -208,7 +208,11 @@
 	}
 }
 
-// stop ends the wait for a request.
+// firstRequestTimeout is how long a connection without a request so far waits for one
+// after Stop. A client sends a request as soon as it has connected.
+const firstRequestTimeout = 200 * time.Millisecond
+
+// stop ends the wait for a request, or bounds that for the first one.
 func (c *connection) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -218,10 +222,14 @@
 
 // applyDeadline sets the read deadline of the socket.
 func (c *connection) applyDeadline() error {
-	if c.stopped && !c.unanswered && !c.http2 {
+	switch {
+	case !c.stopped || c.unanswered || c.http2:
+		return c.TCPConn.SetReadDeadline(c.deadline)
+	case !c.received:
+		return c.TCPConn.SetReadDeadline(time.Now().Add(firstRequestTimeout))
+	default:
 		return c.TCPConn.SetReadDeadline(time.Now())
 	}
-	return c.TCPConn.SetReadDeadline(c.deadline)
 }
 
 func (c *connection) isHTTP2() bool {
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -115,6 +115,20 @@
 	waitFor(t, "the connection ends", tr.Ended)
 }
 
+// TestStopServesFirstRequestOfConnection guards against closing it before the client has
+// sent the request for which it connected.
+func TestStopServesFirstRequestOfConnection(t *testing.T) {
+	var tr tracker.Tracker
+	address, _ := serve(t, &tr, answer, unwrapped)
+	conn, r := dial(t, address)
+	time.Sleep(50 * time.Millisecond)
+	tr.Stop()
+	time.Sleep(20 * time.Millisecond)
+	send(t, conn, request)
+	checkResponse(t, r)
+	waitFor(t, "the connection ends", tr.Ended)
+}
+
 // heldListener holds back Accept until release is closed.
 type heldListener struct {
 	*net.TCPListener
