--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -30,10 +30,13 @@
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds the time to write one response.
 	writeTimeout = 10 * time.Second
-	// lingerTimeout is how long the server reads on after it has announced the
+	// LingerTimeout is how long the server reads on after it has announced the
 	// close to the client. Unread bytes would make the close reset the connection
 	// before the client has the response.
-	lingerTimeout = 500 * time.Millisecond
+	LingerTimeout = 500 * time.Millisecond
+	// firstRequestTimeout is how long a connection without a request so far waits for
+	// one after Stop. A client sends a request as soon as it has connected.
+	firstRequestTimeout = 200 * time.Millisecond
 )
 
 // exchange is a request with its pending response.
@@ -60,6 +63,8 @@
 	// true while a request is being read or is in the buffer.
 	pending []*exchange
 	reading bool
+	// used means that a request was begun.
+	used bool
 	// closing is true when no response will follow the current one, or when the
 	// connection was aborted.
 	closing bool
@@ -70,7 +75,7 @@
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
-	limit := &limitedReader{Reader: conn}
+	limit := &limitedReader{conn: conn}
 	ctx, cancel := context.WithCancel(forwarder.WithConn(context.Background(), conn))
 	return &connection{
 		server:    s,
@@ -100,7 +105,7 @@
 	<-writerDone
 	c.cancel()
 	discarded := int64(c.reader.Buffered())
-	if !clientGone {
+	if !clientGone && c.isUsed() {
 		discarded += c.linger()
 	}
 	c.discard(discarded)
@@ -108,17 +113,25 @@
 }
 
 // linger reads and discards data until the client closes the connection, for at
-// most lingerTimeout, and returns the number of bytes. Without it, the close could
+// most LingerTimeout, and returns the number of bytes. Without it, the close could
 // reset the connection before the client has the last response.
 func (c *connection) linger() int64 {
 	if halfCloser, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite()
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_ = c.conn.SetReadDeadline(time.Now().Add(LingerTimeout))
 	n, _ := io.Copy(io.Discard, c.conn)
 	return n
 }
 
+// isUsed reports whether a request was begun. Otherwise there is no response that a
+// close could reset.
+func (c *connection) isUsed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
 // busy reports whether a response is pending, a request is being read, or the
 // client may not have the last response yet.
 func (c *connection) busy() bool {
@@ -203,6 +216,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = !c.closing
+	c.used = true
 	return c.reading
 }
 
@@ -227,9 +241,10 @@
 func (c *connection) awaitRequest() error {
 	c.limit.remaining = c.server.Limits().HeaderBytes + readBufferSize
 	c.setIdleDeadline()
+	c.limit.strictDeadline = true
 	_, err := c.reader.Peek(1)
+	c.limit.strictDeadline = false
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.closeUnlessArrived() {
-		_ = c.conn.SetReadDeadline(time.Time{})
 		_, err = c.reader.Peek(1)
 	}
 	if err != nil {
@@ -265,7 +280,7 @@
 }
 
 // setIdleDeadline bounds the wait for a request if no response is pending. After
-// Stop, the wait ends at once.
+// Stop, the wait ends at once unless it is for the first request.
 func (c *connection) setIdleDeadline() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -273,8 +288,11 @@
 		return
 	}
 	deadline := time.Now()
-	if !c.server.stopped.Load() {
+	switch {
+	case !c.server.stopped.Load():
 		deadline = deadline.Add(c.server.Limits().IdleTimeout)
+	case !c.used:
+		deadline = deadline.Add(firstRequestTimeout)
 	}
 	_ = c.conn.SetReadDeadline(deadline)
 }
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -1,12 +1,9 @@
 package sidecar
 
 import (
-	"net"
-	"net/http"
-	"sync"
 	"time"
 
-	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
+	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 )
 
 // Timing of a graceful shutdown.
@@ -22,8 +19,11 @@
 	// plan is known.
 	defaultTimeout = time.Second
 	// killMargin is the time reserved at the end of the grace period, before the
-	// platform kills the process.
+	// platform kills the process. It is shorter for a short grace period.
 	killMargin = 400 * time.Millisecond
+	// closeTime is the time reserved for closing the connections of clients. Requests
+	// that have arrived by then are rejected.
+	closeTime = receiver.LingerTimeout + 2*shutdownPollInterval
 	// shutdownPollInterval is the interval at which the shutdown checks whether requests
 	// are in flight.
 	shutdownPollInterval = 50 * time.Millisecond
@@ -33,19 +33,29 @@
 // clients move to other daemons, then admits no further attempts at the local target.
 // It closes the connections of clients once no request is in flight, or once the time
 // left is shorter than the longest timeout, and returns when they have ended or the grace
-// period is nearly over.
+// period is nearly over. The connections of other daemons are closed last. If the process
+// was held up until then, it still closes all of them.
 func (d *Daemon) shutdown() {
+	grace := d.sidecar.GracePeriod.Duration
+	serviceTime := grace - min(killMargin, grace/4)
+	delay := max(0, min(unreadyDelay, serviceTime/2, serviceTime-closeTime))
 	startTime := d.clock.Now()
-	deadline := startTime.Add(d.sidecar.GracePeriod.Duration - killMargin)
+	deadline := startTime.Add(serviceTime)
 	d.stopping.Store(true)
 	d.receiver.Drain()
-	d.log.Info("stopping", "grace", d.sidecar.GracePeriod.Duration)
-	time.Sleep(unreadyDelay)
+	d.log.Info("stopping", "grace", grace)
+	time.Sleep(delay)
 	d.leave()
-	stopTime := deadline.Add(-d.longestTimeout())
+	stopTime := deadline.Add(-max(d.longestTimeout(), closeTime))
+	// wakeTime is the time at which the next pass of the loop is due.
+	wakeTime := startTime.Add(delay)
 	var idleSince time.Time
 	stopped := false
-	for now := d.clock.Now(); now.Before(deadline); now = d.clock.Now() {
+	for {
+		now := d.clock.Now()
+		if end := now.Add(closeTime); now.Sub(wakeTime) > closeTime && end.After(deadline) {
+			deadline = end
+		}
 		switch {
 		case d.receiver.BusyConnections() > 0 || d.servesAttempts():
 			idleSince = time.Time{}
@@ -58,19 +68,26 @@
 			d.stopReceiver()
 			stopped = true
 		}
-		if d.receiver.Ended() && !d.servesAttempts() {
+		if (d.receiver.Ended() && !d.servesAttempts()) || !now.Before(deadline.Add(-closeTime)) {
+			d.attempts.Stop()
+		}
+		if d.receiver.Ended() && d.gate.Running() == 0 && d.attempts.Ended() {
 			return
 		}
+		if !now.Before(deadline) {
+			break
+		}
 		time.Sleep(shutdownPollInterval)
+		wakeTime = now.Add(shutdownPollInterval)
 	}
-	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running(), "peers", d.attemptConnections.count())
+	d.log.Warn("stopping with requests in flight", "connections", d.receiver.BusyConnections(), "running", d.gate.Running(), "peers", d.attempts.Busy())
 	d.receiver.ReportOpen()
 }
 
 // servesAttempts reports whether an attempt runs at the local target, or another daemon
 // does not have its response yet.
 func (d *Daemon) servesAttempts() bool {
-	return d.gate.Running() > 0 || d.attemptConnections.count() > 0
+	return d.gate.Running() > 0 || d.attempts.Busy() > 0
 }
 
 // stopReceiver stops the server of client connections, and logs the connections that
@@ -89,44 +106,3 @@
 	}
 	return p.LongestTimeout()
 }
-
-// busyConnections counts the connections of an HTTP server on which a request has
-// arrived and its response has not been written.
-type busyConnections struct {
-	mu sync.Mutex
-	// connections holds the state of each connection that has not ended.
-	connections map[net.Conn]http.ConnState
-}
-
-// update is the ConnState function of the server.
-func (b *busyConnections) update(conn net.Conn, state http.ConnState) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	switch state {
-	case http.StateClosed, http.StateHijacked:
-		delete(b.connections, conn)
-	default:
-		if b.connections == nil {
-			b.connections = map[net.Conn]http.ConnState{}
-		}
-		b.connections[conn] = state
-	}
-}
-
-// count also looks for requests that the server has not begun to read.
-func (b *busyConnections) count() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	busy := 0
-	var p [1]byte
-	for conn, state := range b.connections {
-		if state == http.StateActive {
-			busy++
-			continue
-		}
-		if n, _ := forwarder.Peek(conn, p[:]); n > 0 {
-			busy++
-		}
-	}
-	return busy
-}
