sidecar: keep the address of a daemon that answers while it stops

A daemon that restarted while the store was away found nobody and served nothing until the store was back: TestStoreOutage failed once ("a daemon restarted during the outage gets the plan from a peer", 60 s), in one of two runs of the whole package at a load of about 60.

In its log four peers have "address of a gone daemon now belongs to another daemon" for the daemon that was being restarted. A peer looks for gone daemons by a join through their old address, and took every answer that did not make the daemon live for one of another daemon. A daemon in the last part of its shutdown still answers, as one that has left, so all peers forgot its address, and the store, the other way to find it, was away.

An address is now forgotten only if another live daemon has it. TestAddressOfLeavingDaemonIsKept failed before (no address remembered). With the change it, TestReusedAddressIsForgotten and TestStoreOutage pass 3 of 3 runs with the race detector.

--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -201,7 +201,8 @@
 }
 
 // rejoinGone tries to join through the address of one dead or left daemon, in case
-// it has restarted. It forgets an address that now belongs to another daemon.
+// it has restarted. It forgets an address that now belongs to another daemon. A daemon
+// that is still stopping may answer as well; its address is kept.
 func (d *Daemon) rejoinGone(ctx context.Context) {
 	live := map[string]string{}
 	for _, m := range d.members.All() {
@@ -218,12 +219,24 @@
 			d.log.Info("gone daemon has rejoined", "peer", name)
 			return
 		}
-		d.log.Info("address of a gone daemon now belongs to another daemon", "peer", name, "address", address)
-		d.forgetPeer(name)
+		if owner, ok := d.liveDaemonAt(address); ok {
+			d.log.Info("address of a gone daemon now belongs to another daemon", "peer", name, "address", address, "owner", owner)
+			d.forgetPeer(name)
+		}
 		return
 	}
 }
 
+// liveDaemonAt returns the name of the live daemon with a control address.
+func (d *Daemon) liveDaemonAt(address string) (name string, ok bool) {
+	for _, m := range d.members.All() {
+		if m.Control == address && m.Status <= prober.Suspect {
+			return m.ID, true
+		}
+	}
+	return "", false
+}
+
 // forgetPeer removes the remembered control address of a daemon.
 func (d *Daemon) forgetPeer(name string) {
 	d.peerAddressesMu.Lock()
