sidecar: count the copies of records that daemons send each other

On a full link an operator saw late requests and nothing that said what filled it: no metric or log line had the bytes of the operators' records that a relay sends to the daemons of its data centre, or the time that a fetch of them takes.

copy.sent, copy.sentbytes and the histogram copy.bytes count the copies that a daemon sends, copy.fetch is the time that a fetch takes at the daemon that asked, copy.failed counts fetches without an answer, which are now also logged as warnings with the time that they took, and control.sent and control.received are the bytes of all calls between daemons. The line "newer records fetched from peer" has bytes and time, and "records packed for peers" is written once a revision by the daemon that sends it.

The time for which the kernel holds what a daemon has written is not measured at the sender; it is part of copy.fetch.

--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -11,11 +11,15 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/follower"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
 )
 
+// copySamples is the number of sizes of sent copies that are kept for the histogram.
+const copySamples = 256
+
 // setLevel sets the minimum level of log messages. An invalid level means info.
 func (d *Daemon) setLevel(s loader.Log) {
 	level, err := log.ParseLevel(s.Level)
@@ -35,6 +39,13 @@
 	metrics.GetOrRegisterTimer(name, d.metrics).Update(t)
 }
 
+// countCopy counts a copy of records that is sent to another daemon.
+func (d *Daemon) countCopy(p follower.PackedCopy) {
+	d.incrementCounter("copy.sent")
+	metrics.GetOrRegisterCounter("copy.sentbytes", d.metrics).Inc(int64(len(p.Data)))
+	metrics.GetOrRegisterHistogram("copy.bytes", d.metrics, metrics.NewUniformSample(copySamples)).Update(int64(len(p.Data)))
+}
+
 // observeRequest counts and logs the result of a client's request.
 func (d *Daemon) observeRequest(r dispatcher.Result) {
 	d.time("request", r.Duration)
@@ -137,6 +148,8 @@
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	counts := d.members.Counts()
 	metrics.GetOrRegisterGauge("member.live", d.metrics).Update(int64(counts.Live()))
+	metrics.GetOrRegisterGauge("control.sent", d.metrics).Update(d.client.SentBytes.Load() + d.control.SentBytes.Load())
+	metrics.GetOrRegisterGauge("control.received", d.metrics).Update(d.client.ReceivedBytes.Load() + d.control.ReceivedBytes.Load())
 	if v := d.view.Load(); v != nil {
 		metrics.GetOrRegisterGauge("member.targets", d.metrics).Update(int64(v.targets))
 		metrics.GetOrRegisterGauge("plan.version", d.metrics).Update(int64(v.plan.Version))
--- a/internal/sidecar/relays.go
+++ b/internal/sidecar/relays.go
@@ -164,13 +164,17 @@
 	}
 	defer d.fetching.Delete(f.Prefix)
 	current, _ := f.Copy()
+	start := d.clock.Now()
 	var packed follower.PackedCopy
 	err := d.client.Call(ctx, address, copyMethod, copyRequest{
 		Prefix:   f.Prefix,
 		Revision: current.Revision,
 	}, &packed)
+	took := d.clock.Now().Sub(start)
 	if err != nil {
-		d.log.Debug("records not fetched from peer", "peer", address, "err", err)
+		d.incrementCounter("copy.failed")
+		d.log.Warn("records not fetched from peer", "peer", address, "prefix", f.Prefix, "known", current.Revision,
+			"took", took, "err", err)
 		return
 	}
 	if packed.Revision <= current.Revision {
@@ -181,8 +185,10 @@
 		d.log.Error("records of peer not decoded", "peer", address, "prefix", f.Prefix, "err", err)
 		return
 	}
+	d.time("copy.fetch", took)
 	if f.Offer(c) {
-		d.log.Info("newer records fetched from peer", "peer", address, "prefix", f.Prefix, "revision", c.Revision)
+		d.log.Info("newer records fetched from peer", "peer", address, "prefix", f.Prefix, "revision", c.Revision,
+			"bytes", len(packed.Data), "took", took)
 	}
 }
 
@@ -198,7 +204,11 @@
 func (d *Daemon) handleCopy(_ context.Context, q copyRequest) (follower.PackedCopy, error) {
 	for _, f := range d.followers() {
 		if c, ok := f.Copy(); ok && f.Prefix == q.Prefix && c.Revision > q.Revision {
-			return d.packCopy(f.Prefix, c)
+			p, err := d.packCopy(f.Prefix, c)
+			if err == nil {
+				d.countCopy(p)
+			}
+			return p, err
 		}
 	}
 	return follower.PackedCopy{}, nil
@@ -217,6 +227,7 @@
 		return follower.PackedCopy{}, err
 	}
 	d.packed[prefix] = p
+	d.log.Info("records packed for peers", "prefix", prefix, "revision", c.Revision, "bytes", len(p.Data))
 	return p, nil
 }
 
