sidecar: send copies of records as what changed

While operators changed a configuration of 1,400 routes every 0.2 s, requests left the daemons that pass it on up to 0.9 s late, and reached their target after their client had left: each of a relay's daemons fetched the whole record, JSON in base64 and compressed, for each change.

A request for a copy now names the digest (keys and versions) of the requester's own copy. A daemon remembers its last eight copies, 4 MiB at most, and if it has that one it packs the new copy with the other as the dictionary of zstd. The encoding of the items is binary, since base64 hides repetitions from the compressor. The frame's checksum covers the dictionary: if the copies differ in spite of equal digests, decoding fails and the copy is fetched whole. A request without a digest, from a daemon of the version before, gets the whole copy of JSON, and such a daemon's response has neither encoding nor base and is decoded as before.

TestChangesOfLargePlanStayInControlBudget: six daemons, 1,400 routes, 12 changes; bound 54,000 B a daemon, from 27 KB/s for control and 6 changes a second of docs/CAPACITY.md. The tests of older versions send and serve copies as those did.

Beyond about 500 kB that do not compress, part of the record is sent again.

--- a/internal/follower/codec.go
+++ b/internal/follower/codec.go
@@ -1,10 +1,16 @@
 package follower
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
+	"math/bits"
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/zeebo/errs"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/storer"
 )
 
 // Class is the error class of this package.
@@ -14,6 +20,14 @@
 // It leaves room for several records of the largest size that the platform stores.
 const maxCopyBytes = 8 << 20
 
+// maxWindowSize bounds the window of copies that are packed against another, so that
+// any decoder accepts them.
+const maxWindowSize = 8 << 20
+
+// dictionaryID is the ID of the dictionary of zstd frames that are packed against
+// another copy.
+const dictionaryID = 1
+
 // encoder and decoder are safe for concurrent use. Their errors are ignored because
 // these options are always valid.
 var (
@@ -22,15 +36,40 @@
 		zstd.WithDecoderMaxMemory(maxCopyBytes))
 )
 
+// Encodings of the items of a PackedCopy.
+const (
+	// jsonEncoding is a JSON array. It is the only one that daemons of older versions
+	// understand.
+	jsonEncoding = iota
+	// binaryEncoding is the concatenation of the items, with lengths as uvarints.
+	binaryEncoding
+)
+
 // PackedCopy is a Copy in compressed form, as daemons send it to each other.
 type PackedCopy struct {
 	Revision uint64 `json:"revision"`
-	// Data is the zstd-compressed JSON array of the items. It is empty if the sender
+	// Encoding is the encoding of the items.
+	Encoding int `json:"encoding,omitempty"`
+	// Base is the digest of the copy whose encoded items are the dictionary of Data;
+	// it is empty if there is no dictionary.
+	Base string `json:"base,omitempty"`
+	// Data holds the encoded items, compressed with zstd. It is empty if the sender
 	// has nothing newer.
 	Data []byte `json:"data,omitempty"`
 }
 
-// Pack compresses the copy for sending to another daemon.
+// Digest identifies the items of the copy by their keys and versions.
+func (c Copy) Digest() string {
+	var b []byte
+	for _, i := range c.Items {
+		b = appendBytes(b, []byte(i.Key))
+		b = binary.AppendUvarint(b, i.Version)
+	}
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:16])
+}
+
+// Pack compresses the copy as JSON, for a daemon of any version.
 func (c Copy) Pack() (PackedCopy, error) {
 	data, err := json.Marshal(c.Items)
 	if err != nil {
@@ -42,16 +81,137 @@
 	}, nil
 }
 
-// Unpack decompresses and decodes the copy. It fails if the data is damaged or
-// decompresses to more than 8 MiB.
-func (p PackedCopy) Unpack() (Copy, error) {
-	data, err := decoder.DecodeAll(p.Data, nil)
+// PackSince compresses the copy for a daemon that has base, which may be empty. What
+// they have in common takes next to no space.
+func (c Copy) PackSince(base Copy) (PackedCopy, error) {
+	p := PackedCopy{
+		Revision: c.Revision,
+		Encoding: binaryEncoding,
+	}
+	if len(base.Items) == 0 {
+		p.Data = encoder.EncodeAll(c.encode(), nil)
+		return p, nil
+	}
+	dictionary, data := base.encode(), c.encode()
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
+		zstd.WithWindowSize(windowSize(len(dictionary)+len(data))), zstd.WithEncoderDictRaw(dictionaryID, dictionary))
 	if err != nil {
-		return Copy{}, Class.Wrap(err)
+		return PackedCopy{}, Class.Wrap(err)
 	}
+	p.Base = base.Digest()
+	p.Data = e.EncodeAll(data, nil)
+	return p, Class.Wrap(e.Close())
+}
+
+// windowSize returns the smallest window of zstd that spans n bytes, as the encoder's
+// memory grows with it.
+func windowSize(n int) int {
+	return min(max(1<<bits.Len(uint(n)), zstd.MinWindowSize), maxWindowSize)
+}
+
+// Unpack decompresses and decodes a copy that has no base. It fails if the data is
+// damaged or decompresses to more than 8 MiB.
+func (p PackedCopy) Unpack() (Copy, error) {
+	return p.UnpackSince(Copy{})
+}
+
+// UnpackSince is like Unpack. base must be the copy with the digest p.Base, if that is
+// set; with any other, UnpackSince fails.
+func (p PackedCopy) UnpackSince(base Copy) (Copy, error) {
 	c := Copy{Revision: p.Revision}
-	if err := json.Unmarshal(data, &c.Items); err != nil {
+	data, err := p.decompress(base)
+	if err != nil {
 		return Copy{}, Class.Wrap(err)
 	}
+	switch p.Encoding {
+	case jsonEncoding:
+		err = Class.Wrap(json.Unmarshal(data, &c.Items))
+	case binaryEncoding:
+		c.Items, err = decodeItems(data)
+	default:
+		err = Class.New("unknown encoding %d of records", p.Encoding)
+	}
+	if err != nil {
+		return Copy{}, err
+	}
 	return c, nil
 }
+
+// decompress returns the encoded items.
+func (p PackedCopy) decompress(base Copy) ([]byte, error) {
+	if p.Base == "" {
+		return decoder.DecodeAll(p.Data, nil)
+	}
+	if known := base.Digest(); known != p.Base {
+		return nil, Class.New("packed against the copy %s, not %s", p.Base, known)
+	}
+	// The checksum of the frame covers the dictionary's content too.
+	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
+		zstd.WithDecoderMaxMemory(maxCopyBytes), zstd.WithDecoderDictRaw(dictionaryID, base.encode()))
+	if err != nil {
+		return nil, err
+	}
+	defer d.Close()
+	return d.DecodeAll(p.Data, nil)
+}
+
+// size returns the approximate memory of the items, in bytes.
+func (c Copy) size() int {
+	n := 0
+	for _, i := range c.Items {
+		n += len(i.Key) + len(i.Value)
+	}
+	return n
+}
+
+// encode returns the binary encoding of the items.
+func (c Copy) encode() []byte {
+	b := make([]byte, 0, c.size()+3*binary.MaxVarintLen64*len(c.Items))
+	for _, i := range c.Items {
+		b = appendBytes(b, []byte(i.Key))
+		b = binary.AppendUvarint(b, i.Version)
+		b = appendBytes(b, i.Value)
+	}
+	return b
+}
+
+// decodeItems decodes the binary encoding of items.
+func decodeItems(b []byte) ([]storer.Item, error) {
+	var items []storer.Item
+	for len(b) > 0 {
+		key, rest, ok := cutBytes(b)
+		if !ok {
+			return nil, Class.New("truncated key")
+		}
+		version, n := binary.Uvarint(rest)
+		if n <= 0 {
+			return nil, Class.New("truncated version of %q", key)
+		}
+		value, rest, ok := cutBytes(rest[n:])
+		if !ok {
+			return nil, Class.New("truncated value of %q", key)
+		}
+		b = rest
+		items = append(items, storer.Item{
+			Key:     string(key),
+			Value:   value,
+			Version: version,
+		})
+	}
+	return items, nil
+}
+
+// appendBytes appends the length of s and s to b.
+func appendBytes(b, s []byte) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+// cutBytes returns the bytes that appendBytes wrote at the start of b, and the rest.
+func cutBytes(b []byte) (s, rest []byte, ok bool) {
+	size, n := binary.Uvarint(b)
+	if n <= 0 || size > uint64(len(b)-n) {
+		return nil, nil, false
+	}
+	b = b[n:]
+	return b[:size:size], b[size:], true
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -33,6 +33,13 @@
 	idlePollInterval = 100 * time.Millisecond
 )
 
+// Recent copies are kept up to these limits, so that a copy can be sent as changes
+// to another daemon that has one of them.
+const (
+	maxRecentCopies = 8
+	maxRecentBytes  = 4 << 20
+)
+
 // errWatchRestarted is returned by watch when RestartWatch cancelled it.
 var errWatchRestarted = errors.New("watch restarted")
 
@@ -66,6 +73,8 @@
 	mu      sync.Mutex
 	current Copy
 	hasCopy bool
+	// recent holds the last copies with different items, the current one last.
+	recent []Copy
 	// cancelWatch cancels the watch request in flight; it is nil if there is none.
 	cancelWatch context.CancelFunc
 }
@@ -101,10 +110,37 @@
 	f.current = c
 	f.hasCopy = true
 	if !unchanged {
+		f.remember(c)
 		f.OnChange(c)
 	}
 }
 
+// remember adds c to the recent copies and drops the oldest ones beyond the limits.
+// f.mu must be held.
+func (f *Follower) remember(c Copy) {
+	f.recent = append(f.recent, c)
+	size := 0
+	for i, r := range slices.Backward(f.recent) {
+		size += r.size()
+		if i < len(f.recent)-1 && (size > maxRecentBytes || len(f.recent)-i > maxRecentCopies) {
+			f.recent = slices.Delete(f.recent, 0, i+1)
+			return
+		}
+	}
+}
+
+// Recent returns the copy with the digest if it is one of the last.
+func (f *Follower) Recent(digest string) (c Copy, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range slices.Backward(f.recent) {
+		if r.Digest() == digest {
+			return r, true
+		}
+	}
+	return Copy{}, false
+}
+
 // Run keeps the copy up to date from the platform until ctx is cancelled.
 func (f *Follower) Run(ctx context.Context) {
 	canWatch := false
--- /dev/null
+++ b/internal/sidecar/copies.go
@@ -0,0 +1,126 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/follower"
+)
+
+// copyRequest requests a daemon's copy of the records under a prefix if that is
+// newer than a revision.
+type copyRequest struct {
+	Prefix   string `json:"prefix"`
+	Revision uint64 `json:"revision"`
+	// Base is the digest of the requester's own copy, against which the copy may be
+	// packed. Daemons of older versions send none; they understand only whole copies
+	// of JSON.
+	Base string `json:"base,omitempty"`
+}
+
+// fetchCopy fetches another daemon's copy of the records and applies it if it is
+// newer. It returns at once if a fetch of the same prefix is in progress. A change
+// that this fetch misses is fetched after a later update.
+func (d *Daemon) fetchCopy(ctx context.Context, f *follower.Follower, address string) {
+	if _, busy := d.fetching.LoadOrStore(f.Prefix, true); busy {
+		return
+	}
+	defer d.fetching.Delete(f.Prefix)
+	current, _ := f.Copy()
+	q := copyRequest{
+		Prefix:   f.Prefix,
+		Revision: current.Revision,
+		Base:     current.Digest(),
+	}
+	if d.fetchCopySince(ctx, f, address, q, current) {
+		return
+	}
+	q.Base = ""
+	d.fetchCopySince(ctx, f, address, q, follower.Copy{})
+}
+
+// fetchCopySince sends one request for a copy and applies the response, which may be
+// packed against base. It reports whether the response, if any, could be decoded.
+func (d *Daemon) fetchCopySince(ctx context.Context, f *follower.Follower, address string, q copyRequest, base follower.Copy) (ok bool) {
+	start := d.clock.Now()
+	var packed follower.PackedCopy
+	err := d.client.Call(ctx, address, copyMethod, q, &packed)
+	took := d.clock.Now().Sub(start)
+	if err != nil {
+		d.incrementCounter("copy.failed")
+		d.log.Warn("records not fetched from peer", "peer", address, "prefix", f.Prefix, "known", q.Revision,
+			"took", took, "err", err)
+		return true
+	}
+	if packed.Revision <= q.Revision {
+		return true
+	}
+	c, err := packed.UnpackSince(base)
+	if err != nil {
+		d.incrementCounter("copy.failed")
+		d.log.Error("records of peer not decoded", "peer", address, "prefix", f.Prefix, "known", q.Revision,
+			"revision", packed.Revision, "base", packed.Base, "err", err)
+		return false
+	}
+	d.time("copy.fetch", took)
+	if f.Offer(c) {
+		d.log.Info("newer records fetched from peer", "peer", address, "prefix", f.Prefix, "revision", c.Revision,
+			"bytes", len(packed.Data), "whole", packed.Base == "", "took", took)
+	}
+	return true
+}
+
+// handleCopy returns the requested copy, or an empty one if there is no newer
+// copy.
+func (d *Daemon) handleCopy(_ context.Context, q copyRequest) (follower.PackedCopy, error) {
+	for _, f := range d.followers() {
+		if c, ok := f.Copy(); ok && f.Prefix == q.Prefix && c.Revision > q.Revision {
+			p, err := d.packCopy(f, c, q.Base)
+			if err == nil {
+				d.countCopy(p)
+			}
+			return p, err
+		}
+	}
+	return follower.PackedCopy{}, nil
+}
+
+// packedKey identifies an encoding of the current copy of a prefix: whole as JSON,
+// or against the copy with the digest base, or whole if base is empty.
+type packedKey struct {
+	prefix, base string
+	json         bool
+}
+
+// packCopy encodes a copy for a daemon whose own has the digest base. The result is
+// cached, because many daemons request the same revision.
+func (d *Daemon) packCopy(f *follower.Follower, c follower.Copy, base string) (follower.PackedCopy, error) {
+	key := packedKey{
+		prefix: f.Prefix,
+		json:   base == "",
+	}
+	known, ok := f.Recent(base)
+	if ok {
+		key.base = base
+	}
+	d.packedMu.Lock()
+	defer d.packedMu.Unlock()
+	if p, ok := d.packed[key]; ok && p.Revision == c.Revision {
+		return p, nil
+	}
+	p, err := c.PackSince(known)
+	if key.json {
+		p, err = c.Pack()
+	}
+	if err != nil {
+		return follower.PackedCopy{}, err
+	}
+	for k, old := range d.packed {
+		if k.prefix == f.Prefix && old.Revision != c.Revision {
+			delete(d.packed, k)
+		}
+	}
+	d.packed[key] = p
+	d.log.Info("records packed for peers", "prefix", f.Prefix, "revision", c.Revision, "bytes", len(p.Data),
+		"whole", p.Base == "")
+	return p, nil
+}
--- a/internal/sidecar/copies_test.go
+++ b/internal/sidecar/copies_test.go
@@ -1,11 +1,22 @@
 package sidecar_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/emulator"
+	"github.com/coltsfootlane/coltsfootlane/internal/linker"
+	"github.com/coltsfootlane/coltsfootlane/internal/storer"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 )
 
 // controlBytesPerSecond is what a daemon may send for control, and changesPerSecond the
@@ -109,3 +120,125 @@
 		t.Error("no log line of the packed records")
 	}
 }
+
+// TestChangesOfLargePlanStayInControlBudget guards against whole copies of a large
+// configuration on the links of the daemons that pass its changes on.
+func TestChangesOfLargePlanStayInControlBudget(t *testing.T) {
+	const changes = 12
+	m := newMesh(t)
+	for range 6 {
+		m.addNode("north", "renewal", "v1")
+	}
+	limit := controlBytesPerSecond * changes / changesPerSecond
+	for name, bytes := range m.changeLargePlan(1400, changes) {
+		if bytes > limit {
+			t.Errorf("%s sent %d B of copies for %d changes, want at most %d", name, bytes, changes, limit)
+		}
+	}
+}
+
+// olderCopy is the response of daemons of the version before to a request for a copy.
+type olderCopy struct {
+	Revision uint64 `json:"revision"`
+	Data     []byte `json:"data,omitempty"`
+}
+
+func TestDaemonOfOlderVersionGetsWholeCopy(t *testing.T) {
+	m := newMesh(t)
+	n := m.addNode("north", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	client := linker.NewClient(n.settings.Key, time.Second)
+	var c olderCopy
+	if err := client.Call(context.Background(), n.settings.Listen.Control, "copy", map[string]any{"prefix": "op/", "revision": 0}, &c); err != nil {
+		t.Fatal(err)
+	}
+	decoder, _ := zstd.NewReader(nil)
+	defer decoder.Close()
+	data, err := decoder.DecodeAll(c.Data, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var items []storer.Item
+	if err := json.Unmarshal(data, &items); err != nil || len(items) != 1 || items[0].Key != "op/config" {
+		t.Errorf("items = %v, %v; want the plan", items, err)
+	}
+}
+
+// relay announces a revision to the node as a relay does, and serves copies of it. It
+// returns the requests that it gets.
+func (n *node) relay(revision uint64, serve func(q map[string]any) any) <-chan map[string]any {
+	n.mesh.t.Helper()
+	requests := make(chan map[string]any, 16)
+	s := linker.NewServer(n.settings.Key)
+	linker.Handle(s, "copy", func(_ context.Context, q map[string]any) (any, error) {
+		requests <- q
+		return serve(q), nil
+	})
+	ln, err := net.Listen("tcp", n.mesh.freeAddress())
+	if err != nil {
+		n.mesh.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.mesh.t.Cleanup(cancel)
+	go func() { _ = s.Serve(ctx, ln) }()
+	err = linker.NewClient(n.settings.Key, waitTimeout).Call(ctx, n.settings.Listen.Control, "news", map[string]any{
+		"from":      "north-0",
+		"control":   ln.Addr().String(),
+		"revisions": map[string]uint64{"op/": revision},
+	}, nil)
+	if err != nil {
+		n.mesh.t.Fatal(err)
+	}
+	return requests
+}
+
+// packPlan returns a copy with one plan, as daemons of the version before pack it.
+func packPlan(t *testing.T, revision uint64, version int) olderCopy {
+	t.Helper()
+	records := emulator.NewRecords(timekeeper.System{})
+	if _, err := records.Declare(version, safeRule); err != nil {
+		t.Fatal(err)
+	}
+	value, _ := records.Value("op/config")
+	data, err := json.Marshal([]storer.Item{{Key: "op/config", Value: value, Version: revision}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	encoder, _ := zstd.NewWriter(nil)
+	return olderCopy{
+		Revision: revision,
+		Data:     encoder.EncodeAll(data, nil),
+	}
+}
+
+func TestCopyOfDaemonOfOlderVersion(t *testing.T) {
+	m := newMesh(t)
+	n := m.addNode("north", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	older := packPlan(t, 1000, 2)
+	n.relay(older.Revision, func(map[string]any) any { return older })
+	m.waitFor("plan of the older daemon", func() bool { return n.gauge("plan.version") == 2 })
+}
+
+func TestWholeCopyIsFetchedAfterBadChanges(t *testing.T) {
+	m := newMesh(t)
+	n := m.addNode("north", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	older := packPlan(t, 1000, 2)
+	requests := n.relay(older.Revision, func(q map[string]any) any {
+		if base, ok := q["base"]; ok {
+			return map[string]any{"revision": older.Revision, "encoding": 1, "base": base, "data": older.Data[:9]}
+		}
+		return older
+	})
+	m.waitFor("plan of the whole copy", func() bool { return n.gauge("plan.version") == 2 })
+	if first := <-requests; first["base"] == nil {
+		t.Errorf("first request is %v, want one with a base", first)
+	}
+	if !strings.Contains(m.logs.String(), "records of peer not decoded") {
+		t.Error("no log line of the copy that was not decoded")
+	}
+}
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -42,6 +42,9 @@
 // countCopy counts a copy of records that is sent to another daemon.
 func (d *Daemon) countCopy(p follower.PackedCopy) {
 	d.incrementCounter("copy.sent")
+	if p.Base == "" {
+		d.incrementCounter("copy.sentwhole")
+	}
 	metrics.GetOrRegisterCounter("copy.sentbytes", d.metrics).Inc(int64(len(p.Data)))
 	metrics.GetOrRegisterHistogram("copy.bytes", d.metrics, metrics.NewUniformSample(copySamples)).Update(int64(len(p.Data)))
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -169,9 +169,9 @@
 	storeRecovered  chan struct{}
 	// fetching holds the key prefixes for which a fetch is in progress.
 	fetching sync.Map
-	// packed caches the last encoded copy of each prefix.
+	// packed caches the encodings of the last copy of each prefix.
 	packedMu sync.Mutex
-	packed   map[string]follower.PackedCopy
+	packed   map[packedKey]follower.PackedCopy
 
 	// stopping is set when the shutdown begins, and left once the daemon has left
 	// the membership.
@@ -251,7 +251,7 @@
 		relayUpdateDue:    make(chan struct{}, 1),
 		storeRecovered:    make(chan struct{}, 1),
 		membersChanged:    make(chan struct{}, 1),
-		packed:            map[string]follower.PackedCopy{},
+		packed:            map[packedKey]follower.PackedCopy{},
 	}
 	d.members.Notify(d.membersChanged)
 	d.retryBudget = &dispatcher.RetryBudget{
