sidecar: announce a revision repeatedly in the tests of copies

The tests' relay announced its revision once, where relays announce it every half second.

The relay now announces it every 100 ms until the test ends. What is checked stays.

--- a/internal/sidecar/copies_test.go
+++ b/internal/sidecar/copies_test.go
@@ -165,14 +165,17 @@
 	}
 }
 
-// relay announces a revision to the node as a relay does, and serves copies of it. It
-// returns the requests that it gets.
+// relay announces a revision to the node again and again, as a relay does, and serves
+// copies of it. It returns the first requests that it gets.
 func (n *node) relay(revision uint64, serve func(q map[string]any) any) <-chan map[string]any {
 	n.mesh.t.Helper()
 	requests := make(chan map[string]any, 16)
 	s := linker.NewServer(n.settings.Key)
 	linker.Handle(s, "copy", func(_ context.Context, q map[string]any) (any, error) {
-		requests <- q
+		select {
+		case requests <- q:
+		default:
+		}
 		return serve(q), nil
 	})
 	ln, err := net.Listen("tcp", n.mesh.freeAddress())
@@ -180,16 +183,24 @@
 		n.mesh.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n.mesh.t.Cleanup(cancel)
+	ended := make(chan struct{})
+	n.mesh.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
 	go func() { _ = s.Serve(ctx, ln) }()
-	err = linker.NewClient(n.settings.Key, waitTimeout).Call(ctx, n.settings.Listen.Control, "news", map[string]any{
-		"from":      "north-0",
-		"control":   ln.Addr().String(),
-		"revisions": map[string]uint64{"op/": revision},
-	}, nil)
-	if err != nil {
-		n.mesh.t.Fatal(err)
-	}
+	client := linker.NewClient(n.settings.Key, time.Second)
+	go func() {
+		defer close(ended)
+		for ctx.Err() == nil {
+			_ = client.Call(ctx, n.settings.Listen.Control, "news", map[string]any{
+				"from":      "north-0",
+				"control":   ln.Addr().String(),
+				"revisions": map[string]uint64{"op/": revision},
+			}, nil)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
 	return requests
 }
 
