sidecar: a request whose connection is refused is no suspect

Clients could get a 503 for a request that had run nowhere, and after two such refusals every repetition for ten minutes.

Cause: a request counted as in flight from before it had a connection. The deliverer now reports the connection, and a request is in flight from then on. A refused one still makes the daemon look at the target.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -38,10 +38,10 @@
 	Codec  Codec
 	Clock  timekeeper.Clock
 	// BeforeForward is called before an attempt is forwarded and may reject it with an
-	// error. Otherwise done is called with the result when the attempt has ended.
-	// connectionFailed reports whether the connection to the target broke or was
-	// refused.
-	BeforeForward func(a *carrier.Attempt) (done func(r Result, connectionFailed bool), err error)
+	// error. Otherwise connected is called when the attempt has a connection to the
+	// target, and done with the result when the attempt has ended. connectionFailed
+	// reports whether the connection broke or was refused.
+	BeforeForward func(a *carrier.Attempt) (connected func(), done func(r Result, connectionFailed bool), err error)
 	// OnResult is called when an attempt that got a slot has ended, and OnRejected
 	// when an attempt was rejected before it got one.
 	OnResult   func(a *carrier.Attempt, r Result)
@@ -157,7 +157,7 @@
 	if forwarder.ClientGone(ctx) {
 		return nil, Result{Err: admitter.ErrCanceled, Aborted: true}
 	}
-	done, err := d.BeforeForward(a)
+	onConnected, done, err := d.BeforeForward(a)
 	if err != nil {
 		return nil, Result{Err: err, Aborted: true}
 	}
@@ -165,7 +165,11 @@
 	carrier.Acknowledge(ctx)
 	var connected atomic.Bool
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			if !connected.Swap(true) {
+				onConnected()
+			}
+		},
 	})
 	resp, err := forwarder.RoundTrip(d.Transport, d.newRequest(tracedCtx, a))
 	if err == nil {
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -60,8 +60,8 @@
 		Transport: forwarder.NewTransport(4),
 		Codec:     platform.NewAdapter("127.0.0.1:1", time.Second).Codec,
 		Clock:     timekeeper.System{},
-		BeforeForward: func(*carrier.Attempt) (func(deliverer.Result, bool), error) {
-			return func(deliverer.Result, bool) {}, nil
+		BeforeForward: func(*carrier.Attempt) (func(), func(deliverer.Result, bool), error) {
+			return func() {}, func(deliverer.Result, bool) {}, nil
 		},
 		OnResult:   func(_ *carrier.Attempt, result deliverer.Result) { r.results = append(r.results, result) },
 		OnRejected: func(*carrier.Attempt, *carrier.Failure) {},
@@ -319,8 +319,8 @@
 	}
 	r.Transport = tr
 	var connectionFailed bool
-	r.BeforeForward = func(*carrier.Attempt) (func(deliverer.Result, bool), error) {
-		return func(_ deliverer.Result, failed bool) { connectionFailed = failed }, nil
+	r.BeforeForward = func(*carrier.Attempt) (func(), func(deliverer.Result, bool), error) {
+		return func() {}, func(_ deliverer.Result, failed bool) { connectionFailed = failed }, nil
 	}
 	if _, err := r.deliverContext(ctx, "id-1"); classifier.VerdictOf(err) != classifier.NotRun {
 		t.Errorf("error %v, want verdict NotRun", err)
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,34 +36,44 @@
 
 // checkQuarantine rejects a request that is quarantined because it has crashed
 // targets. A suspected request runs isolated: only while no other suspected request
-// runs. The caller calls done after the attempt, with connectionLost set if the
-// connection to the target was lost.
-func (d *Daemon) checkQuarantine(a *carrier.Attempt) (done func(r deliverer.Result, connectionLost bool), err error) {
+// runs. The caller calls connected when the request has a connection to the target,
+// and done after the attempt, with connectionLost set if the connection broke or was
+// refused. One whose connection is refused cannot have crashed the target.
+func (d *Daemon) checkQuarantine(a *carrier.Attempt) (connected func(), done func(r deliverer.Result, connectionLost bool), err error) {
 	fp := fingerprint(a)
 	isolated, err := d.quarantine.Admit(fp)
 	if err != nil {
 		d.incrementCounter("order.quarantined")
 		d.log.Warn("quarantined request rejected", "request", a.ID, "rule", a.Rule, "print", fp, "err", err)
-		return nil, err
+		return nil, nil, err
 	}
-	d.quarantine.RequestStarted(fp)
-	return func(r deliverer.Result, connectionLost bool) {
+	var started atomic.Bool
+	connected = func() {
+		started.Store(true)
+		d.quarantine.RequestStarted(fp)
+	}
+	done = func(r deliverer.Result, connectionLost bool) {
 		if connectionLost {
-			d.connectionLost(a, fp)
-		} else {
+			d.checkCrash(a, fp)
+		}
+		switch {
+		case !started.Load():
+		case connectionLost:
+			d.quarantine.RequestBroke(fp)
+		default:
 			d.quarantine.RequestEnded(fp, r.Err == nil)
 		}
 		if isolated {
 			d.quarantine.EndIsolation()
 		}
-	}, nil
+	}
+	return connected, done, nil
 }
 
-// connectionLost ends a request whose connection to the target was lost. If the
-// target has crashed, it makes the gate treat the target as cold and sends the
+// checkCrash checks whether the target has crashed, after the connection of a request
+// broke or was refused. If so, it makes the gate treat the target as cold and sends the
 // fingerprints of the requests that may have caused the crash to the other daemons.
-func (d *Daemon) connectionLost(a *carrier.Attempt, fp string) {
-	defer d.quarantine.RequestBroke(fp)
+func (d *Daemon) checkCrash(a *carrier.Attempt, fp string) {
 	listening := isListening(d.sidecar.Target)
 	d.log.Info("connection to the target lost", "request", a.ID, "print", fp, "listening", listening)
 	if listening {
