receiver: linger on connections without a request, too

A client whose request crossed the close of a connection that had carried none before, at a stop or an idle timeout, got a reset, and the log did not have the line that says so.

Since such a connection was closed without reading on, to keep the shutdown short. Now all connections linger, and the shutdown reserves the time that this takes at most (receiver.CloseTime). The wait for the first request is 0.1 s in place of 0.2 s, so that both fit into a grace of 1 s (with 0.2 s TestShutdownWithShortGrace failed).

TestRequestAfterCloseOfUnusedConnectionIsReported failed before: no report.

--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -30,13 +30,16 @@
 	bodyTimeout = 30 * time.Second
 	// writeTimeout bounds the time to write one response.
 	writeTimeout = 10 * time.Second
-	// LingerTimeout is how long the server reads on after it has announced the
+	// lingerTimeout is how long the server reads on after it has announced the
 	// close to the client. Unread bytes would make the close reset the connection
 	// before the client has the response.
-	LingerTimeout = 500 * time.Millisecond
+	lingerTimeout = 500 * time.Millisecond
 	// firstRequestTimeout is how long a connection without a request so far waits for
 	// one after Stop. A client sends a request as soon as it has connected.
-	firstRequestTimeout = 200 * time.Millisecond
+	firstRequestTimeout = 100 * time.Millisecond
+	// CloseTime is how long the server takes at most after Stop to close a connection
+	// on which no request arrives.
+	CloseTime = firstRequestTimeout + lingerTimeout
 )
 
 // exchange is a request with its pending response.
@@ -105,7 +108,7 @@
 	<-writerDone
 	c.cancel()
 	discarded := int64(c.reader.Buffered())
-	if !clientGone && c.isUsed() {
+	if !clientGone {
 		discarded += c.linger()
 	}
 	c.discard(discarded)
@@ -113,25 +116,17 @@
 }
 
 // linger reads and discards data until the client closes the connection, for at
-// most LingerTimeout, and returns the number of bytes. Without it, the close could
+// most lingerTimeout, and returns the number of bytes. Without it, the close could
 // reset the connection before the client has the last response.
 func (c *connection) linger() int64 {
 	if halfCloser, ok := c.conn.(interface{ CloseWrite() error }); ok {
 		_ = halfCloser.CloseWrite()
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(LingerTimeout))
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	n, _ := io.Copy(io.Discard, c.conn)
 	return n
 }
 
-// isUsed reports whether a request was begun. Otherwise there is no response that a
-// close could reset.
-func (c *connection) isUsed() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.used
-}
-
 // busy reports whether a response is pending, a request is being read, or the
 // client may not have the last response yet.
 func (c *connection) busy() bool {
--- a/internal/receiver/ending_test.go
+++ b/internal/receiver/ending_test.go
@@ -152,3 +152,26 @@
 		})
 	}
 }
+
+// TestRequestAfterCloseOfUnusedConnectionIsReported guards against a reset without a log line.
+func TestRequestAfterCloseOfUnusedConnectionIsReported(t *testing.T) {
+	limits := generousLimits
+	limits.IdleTimeout = 10 * time.Millisecond
+	s := newServer(limits, func(context.Context, *receiver.Request) *receiver.Response { return okResponse("") })
+	endings := make(chan receiver.Ending, 1)
+	s.OnUnanswered = func(e receiver.Ending) { endings <- e }
+	conn, reader := dial(t, serve(t, s, nil))
+	if _, err := io.Copy(io.Discard, reader); err != nil {
+		t.Fatal(err)
+	}
+	send(t, conn, getRequest("/"))
+	_ = conn.Close()
+	select {
+	case e := <-endings:
+		if e.Reason != "idle timeout" || e.Discarded != int64(len(getRequest("/"))) {
+			t.Errorf("report %+v, want an idle timeout with the request's bytes", e)
+		}
+	case <-time.After(testTimeout):
+		t.Error("no report")
+	}
+}
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -23,7 +23,7 @@
 	killMargin = 400 * time.Millisecond
 	// closeTime is the time reserved for closing the connections of clients. Requests
 	// that have arrived by then are rejected.
-	closeTime = receiver.LingerTimeout + 2*shutdownPollInterval
+	closeTime = receiver.CloseTime + 2*shutdownPollInterval
 	// shutdownPollInterval is the interval at which the shutdown checks whether requests
 	// are in flight.
 	shutdownPollInterval = 50 * time.Millisecond
