sidecar: count results of daemons that name no rollout

In a rolling update a bad version would have been found late, and a good one not have been completed: daemons of older versions don't say to which rollout their counts belong, and drop that field from entries that they pass on, and since only counts that name the rollout were added up. Such counts are now taken by the version, as before.

Found by review. TestResultsOfOlderDaemonsCount failed before: running after 10 failures of 50 responses, want rolled back.

--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -89,7 +89,7 @@
 		d.results[r.Revision] = results
 	}
 	for _, m := range members {
-		if m.Target != nil && m.Target.Rollout == r.Revision {
+		if m.Target != nil && countsFor(*m.Target, r) {
 			results.Add(m.ID, shifter.Totals{
 				Calls:    m.Target.Calls,
 				Failures: m.Target.Failures,
@@ -99,6 +99,12 @@
 	return results.Total()
 }
 
+// countsFor reports whether the counts of a target are those of a rollout. Daemons of older
+// versions, and entries that came through them, name no rollout.
+func countsFor(t prober.Target, r shifter.Rollout) bool {
+	return t.Rollout == r.Revision || (t.Rollout == 0 && t.Version == r.Version)
+}
+
 // withdrawal is the message that reports that a rollout's version was found bad.
 type withdrawal struct {
 	Service  string `json:"service"`
--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -166,3 +166,18 @@
 		t.Errorf("results = %+v at the start of the next rollout, want none", got)
 	}
 }
+
+// TestResultsOfOlderDaemonsCount guards against a rolling update that hides a version's failures.
+func TestResultsOfOlderDaemonsCount(t *testing.T) {
+	d := newRolloutDaemon()
+	m, _ := d.members.Get("martin-1")
+	d.incarnation++
+	m.Incarnation = d.incarnation
+	older := *m.Target
+	older.Rollout, older.Calls, older.Failures = 0, 50, 10
+	d.members.Merge(m.WithTarget(&older))
+	d.refresh()
+	if state, ok := d.state(); !ok || state != shifter.RolledBack {
+		t.Errorf("state = %v, %v after 10 failures of 50 responses, want %v", state, ok, shifter.RolledBack)
+	}
+}
