sidecar: publish counts while a rollout's completion depends on them

Daemons publish their counts at failures and when they have doubled, 16 at first, so that a service with many targets and few requests at each completed late although it had hundreds of good responses: in a calculation 14 targets at 28 requests a second completed 19 s after the order of a period of 16.

From the last step before the full share on, until enough responses are known, a daemon also publishes with the first response after half a second.

Found by review. TestFewResponsesAtEachTargetComplete failed before: 0 calls published at the full share, want 1.

--- a/internal/shifter/trial.go
+++ b/internal/shifter/trial.go
@@ -33,7 +33,7 @@
 			t.began = now
 		}
 	}
-	// The responses of a daemon that is gone are no longer known.
+	// Fewer responses may be known than before.
 	t.callsBefore = min(t.callsBefore, calls)
 	if !t.fullShare && t.Share(r, now) == 1 {
 		t.fullShare = true
@@ -70,6 +70,15 @@
 	return t.elapsed + max(0, now.Sub(t.countedSince))
 }
 
+// NeedsCalls reports whether the version gets most requests and its completion depends on
+// further responses.
+func (t Trial) NeedsCalls(r Rollout, now time.Time, calls int) bool {
+	if t.fullShare {
+		return calls-t.callsBefore < minFullShareCalls
+	}
+	return t.Share(r, now) >= rampShares[len(rampShares)-1]
+}
+
 // Completes reports whether a version that was not found bad has been tried long enough,
 // and with enough requests, for the rollout r to complete.
 func (t Trial) Completes(r Rollout, now time.Time, calls int) bool {
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -27,6 +27,9 @@
 	// measured. If no call has failed, the counts are first published after twice
 	// as many calls.
 	minDoublingBase = 8
+	// countsPeriod is the minimum interval between publications of counts that have
+	// not doubled.
+	countsPeriod = 500 * time.Millisecond
 )
 
 // judgeAttempt counts the result of an attempt at the local target during a
@@ -52,7 +55,7 @@
 		res.Duration = 0
 	}
 	if !d.judge.Add(*s.rollout, res, d.chooser.FaultRate(s.targets)) {
-		d.publishCounts(*s.rollout, res.Failed)
+		d.publishCounts(s, res.Failed)
 		return
 	}
 	d.log.Warn("version found bad", "service", attempt.Service, "version", attempt.Version, "rule", attempt.Rule, "request", attempt.ID)
@@ -60,9 +63,10 @@
 }
 
 // publishCounts sends the local target's numbers of calls and failures to the
-// other members: after each failure, and whenever the number of calls has
-// doubled.
-func (d *Daemon) publishCounts(r shifter.Rollout, failed bool) {
+// other members: after each failure, whenever the number of calls has doubled, and once
+// every countsPeriod while the completion of the rollout depends on them.
+func (d *Daemon) publishCounts(s *serviceView, failed bool) {
+	r := *s.rollout
 	self := d.members.Self().Target
 	if self == nil || self.Version != r.Version {
 		return
@@ -72,14 +76,24 @@
 		published = self.Calls
 	}
 	total := d.judge.Total(r)
-	if !failed && total.Calls < 2*max(minDoublingBase, published) {
+	doubled := total.Calls >= 2*max(minDoublingBase, published)
+	if !failed && !doubled && !d.countsDue(s) {
 		return
 	}
+	d.countsPublished.Store(d.clock.Now().UnixNano())
 	next := *self
 	next.Rollout, next.Calls, next.Failures = r.Revision, total.Calls, total.Failures
 	d.publishTarget(&next)
 }
 
+// countsDue reports whether the completion of the rollout depends on counts that were
+// last published countsPeriod ago.
+func (d *Daemon) countsDue(s *serviceView) bool {
+	now := d.clock.Now()
+	published := time.Unix(0, d.countsPublished.Load())
+	return now.Sub(published) >= countsPeriod && s.trial.NeedsCalls(*s.rollout, now, s.results.Calls)
+}
+
 // resultsOf returns the results of all targets of a rollout's version together, those of
 // daemons that are gone included. The caller holds stateMu.
 func (d *Daemon) resultsOf(r shifter.Rollout, members []prober.Member) shifter.Totals {
--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
@@ -181,3 +184,37 @@
 		t.Errorf("state = %v, %v after 10 failures of 50 responses, want %v", state, ok, shifter.RolledBack)
 	}
 }
+
+// TestFewResponsesAtEachTargetComplete guards against responses that no other daemon hears of.
+func TestFewResponsesAtEachTargetComplete(t *testing.T) {
+	d := newRolloutDaemon()
+	d.members.UpdateSelf(func(m prober.Member) prober.Member {
+		return m.WithTarget(&prober.Target{
+			Service:  "renewal",
+			Version:  "v2",
+			Slots:    4,
+			Instance: "zilina-1",
+		})
+	})
+	d.run(rollout.Period * 3 / 4)
+	respond := func() {
+		d.judgeAttempt(&carrier.Attempt{
+			Service: "renewal",
+			Version: "v2",
+			Rule:    "lookup",
+		}, deliverer.Result{Status: http.StatusOK})
+	}
+	respond()
+	if got := d.members.Self().Target.Calls; got != 1 {
+		t.Errorf("%d calls published at the full share, want 1", got)
+	}
+	respond()
+	if got := d.members.Self().Target.Calls; got != 1 {
+		t.Errorf("%d calls published at once after that, want 1", got)
+	}
+	d.clock.Advance(countsPeriod)
+	respond()
+	if got := d.members.Self().Target.Calls; got != 3 {
+		t.Errorf("%d calls published a period later, want 3", got)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -131,6 +131,9 @@
 	declared Declaration
 	// settled holds the recorded outcomes of rollouts, by service.
 	settled map[string]shifter.Outcome
+	// countsPublished is the Unix time at which the target's counts were last
+	// published, in nanoseconds.
+	countsPublished atomic.Int64
 	// trials holds the trials of rollouts, by the revision of their records.
 	trials map[uint64]shifter.Trial
 	// results holds the results of the rollouts that are declared, by revision.
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -237,11 +237,12 @@
 	return a.baseline != b.baseline || a.withdrawn != b.withdrawn || a.completed != b.completed
 }
 
-// serviceView builds the state of one service: the state of its rollout, and its
-// targets by version. Members are those whose targets serve it, all also the others. It continues the trial of the rollout's version. It records in badRollouts if a member has found the rollout's
-// version bad, and withdraws the version if its targets together fail too often.
-// Members in data centres that appear unreachable stay in the view, because only
-// requests show whether they are really unreachable.
+// serviceView builds the state of one service: the state of its rollout, and its targets
+// by version. The parameter members has those whose targets serve it, all has every member.
+// It continues the trial of the rollout's version. It records in badRollouts if a member has
+// found that version bad, and withdraws it if its targets together fail too often. Members
+// in data centres that appear unreachable stay in the view, because only requests show
+// whether they are really unreachable.
 func (d *Daemon) serviceView(service string, v *view, members, all []prober.Member) *serviceView {
 	s := &serviceView{}
 	if r, ok := d.declared.Rollouts[service]; ok {
