storer: a response longer than a value is a failure

A body of the platform's response was read up to one byte more than a value may have, and what had been read counted as the response: a response without end to a read or a watch gave its beginning as the value, and writes, renewals and revocations counted as done.

A longer body now fails with the verdict may-have-run, so that the caller reads the key. The connection is closed, as before.

TestEndlessBodyIsNoValue failed before for get, put, delete, watch, renewal and revocation (error <nil>); TestLargestValueIsRead passed before. Both pass with -race, as do the tests of emulator, once each.

--- a/internal/storer/http.go
+++ b/internal/storer/http.go
@@ -116,12 +116,15 @@
 }
 
 // readResponse reads a response, and returns an error for a status code that
-// reports a failure.
+// reports a failure or a body longer than a value.
 func readResponse(resp *http.Response) (response, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
 	if err != nil {
 		return response{}, classifier.NewFailure(classifier.MayHaveRun, "platform response incomplete", err)
 	}
+	if len(body) > MaxValueBytes {
+		return response{}, classifier.NewFailure(classifier.MayHaveRun, "platform response too long", nil)
+	}
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusNoContent:
 	case http.StatusPreconditionFailed:
