storer: bound the heads of the platform's responses

The heads of the platform's responses had the default bound of net/http, so a response with a head of 256 KiB was taken as an answer.

Heads are now bounded to 128 KiB, the bound of other heads that don't come from a target. A longer head fails the call with the verdict may-have-run.

TestLongHeadIsAFailure failed before for get, put, delete, watch, renewal and revocation (error <nil>); the tests of storer and emulator pass with -race, once each.

--- a/internal/storer/http.go
+++ b/internal/storer/http.go
@@ -23,6 +23,9 @@
 	LeaseHeader = "Platform-Lease"
 )
 
+// maxResponseHead bounds the head of a response in bytes.
+const maxResponseHead = 128 << 10
+
 // LeaseGrant is the JSON body of a request to grant a lease and of its response.
 type LeaseGrant struct {
 	// ID is empty in a request.
@@ -47,8 +50,9 @@
 		baseURL: baseURL,
 		client: &http.Client{
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 8,
-				DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+				MaxIdleConnsPerHost:    8,
+				MaxResponseHeaderBytes: maxResponseHead,
+				DialContext:            (&net.Dialer{Timeout: callTimeout}).DialContext,
 			},
 		},
 		callTimeout: callTimeout,
--- a/internal/storer/http_test.go
+++ b/internal/storer/http_test.go
@@ -83,3 +83,13 @@
 		t.Errorf("got %d bytes, error %v, want %d bytes", len(item.Value), err, storer.MaxValueBytes)
 	}
 }
+
+func TestLongHeadIsAFailure(t *testing.T) {
+	line := strings.Repeat("x", 1<<10)
+	checkCalls(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(storer.VersionHeader, "2")
+		for range 256 {
+			w.Header().Add("Filler", line)
+		}
+	})
+}
