--- a/internal/storer/http.go
+++ b/internal/storer/http.go
@@ -23,6 +23,9 @@
 	LeaseHeader = "Platform-Lease"
 )
 
+// maxResponseHead bounds the head of a response in bytes.
+const maxResponseHead = 128 << 10
+
 // LeaseGrant is the JSON body of a request to grant a lease and of its response.
 type LeaseGrant struct {
 	// ID is empty in a request.
@@ -47,8 +50,9 @@
 		baseURL: baseURL,
 		client: &http.Client{
 			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 8,
-				DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+				MaxIdleConnsPerHost:    8,
+				MaxResponseHeaderBytes: maxResponseHead,
+				DialContext:            (&net.Dialer{Timeout: callTimeout}).DialContext,
 			},
 		},
 		callTimeout: callTimeout,
@@ -116,12 +120,15 @@
 }
 
 // readResponse reads a response, and returns an error for a status code that
-// reports a failure.
+// reports a failure or a body longer than a value.
 func readResponse(resp *http.Response) (response, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
 	if err != nil {
 		return response{}, classifier.NewFailure(classifier.MayHaveRun, "platform response incomplete", err)
 	}
+	if len(body) > MaxValueBytes {
+		return response{}, classifier.NewFailure(classifier.MayHaveRun, "platform response too long", nil)
+	}
 	switch resp.StatusCode {
 	case http.StatusOK, http.StatusNoContent:
 	case http.StatusPreconditionFailed:
