--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
@@ -166,3 +169,52 @@
 		t.Errorf("results = %+v at the start of the next rollout, want none", got)
 	}
 }
+
+// TestResultsOfOlderDaemonsCount guards against a rolling update that hides a version's failures.
+func TestResultsOfOlderDaemonsCount(t *testing.T) {
+	d := newRolloutDaemon()
+	m, _ := d.members.Get("martin-1")
+	d.incarnation++
+	m.Incarnation = d.incarnation
+	older := *m.Target
+	older.Rollout, older.Calls, older.Failures = 0, 50, 10
+	d.members.Merge(m.WithTarget(&older))
+	d.refresh()
+	if state, ok := d.state(); !ok || state != shifter.RolledBack {
+		t.Errorf("state = %v, %v after 10 failures of 50 responses, want %v", state, ok, shifter.RolledBack)
+	}
+}
+
+// TestFewResponsesAtEachTargetComplete guards against responses that no other daemon hears of.
+func TestFewResponsesAtEachTargetComplete(t *testing.T) {
+	d := newRolloutDaemon()
+	d.members.UpdateSelf(func(m prober.Member) prober.Member {
+		return m.WithTarget(&prober.Target{
+			Service:  "renewal",
+			Version:  "v2",
+			Slots:    4,
+			Instance: "zilina-1",
+		})
+	})
+	d.run(rollout.Period * 3 / 4)
+	respond := func() {
+		d.judgeAttempt(&carrier.Attempt{
+			Service: "renewal",
+			Version: "v2",
+			Rule:    "lookup",
+		}, deliverer.Result{Status: http.StatusOK})
+	}
+	respond()
+	if got := d.members.Self().Target.Calls; got != 1 {
+		t.Errorf("%d calls published at the full share, want 1", got)
+	}
+	respond()
+	if got := d.members.Self().Target.Calls; got != 1 {
+		t.Errorf("%d calls published at once after that, want 1", got)
+	}
+	d.clock.Advance(countsPeriod)
+	respond()
+	if got := d.members.Self().Target.Calls; got != 3 {
+		t.Errorf("%d calls published a period later, want 3", got)
+	}
+}
