sidecar: compare a slow version with the old version's targets

Its responses were compared with the rule's mean service time at all targets, which the version's own responses raise once it gets most requests. Whether six slow responses came first at one target was a race.

The bound is now the mean of the old version's targets, each by its last report. TestSlowVersionDoesNotRaiseItsOwnBound failed before.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -233,6 +233,25 @@
 	return c.meanServiceTime(rule)
 }
 
+// ServiceTimeAt returns the mean service time of the requests of a rule at some targets,
+// each counted by its last report, or that at all targets if none has reported.
+func (c *Chooser) ServiceTimeAt(rule string, targets []Target) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var sum time.Duration
+	known := 0
+	for _, t := range targets {
+		if s, ok := c.states[t.Instance]; ok && s.serviceTime[rule] > 0 {
+			sum += s.serviceTime[rule]
+			known++
+		}
+	}
+	if known == 0 {
+		return c.meanServiceTime(rule)
+	}
+	return sum / time.Duration(known)
+}
+
 // targetState returns the state of a target, which it creates if necessary.
 func (c *Chooser) targetState(instance string, now time.Time) *targetState {
 	s, ok := c.states[instance]
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -32,7 +32,7 @@
 	Rule     string
 	Failed   bool
 	Duration time.Duration
-	// MeanDuration is the mean duration of the rule's requests.
+	// MeanDuration is the mean duration of the rule's requests at the old version.
 	MeanDuration time.Duration
 }
 
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -49,7 +49,7 @@
 		Rule:         attempt.Rule,
 		Failed:       r.TargetFailed() && r.Status != http.StatusGatewayTimeout,
 		Duration:     r.Duration,
-		MeanDuration: d.chooser.MeanServiceTime(attempt.Rule),
+		MeanDuration: d.chooser.ServiceTimeAt(attempt.Rule, s.targets),
 	}
 	if d.gate.IsCold() {
 		res.Duration = 0
--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -9,6 +9,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
@@ -218,3 +219,26 @@
 		t.Errorf("%d calls published a period later, want 3", got)
 	}
 }
+
+// TestSlowVersionDoesNotRaiseItsOwnBound guards against a slow version that gets most requests.
+func TestSlowVersionDoesNotRaiseItsOwnBound(t *testing.T) {
+	const usual, slow = 60 * time.Millisecond, 300 * time.Millisecond
+	d := newRolloutDaemon()
+	d.chooser.RecordLoad("zilina-2", "lookup", chooser.Load{ServiceTime: usual})
+	for range 100 {
+		d.chooser.RecordLoad("martin-1", "lookup", chooser.Load{ServiceTime: slow})
+	}
+	for range 10 {
+		d.judgeAttempt(&carrier.Attempt{
+			Service: "renewal",
+			Version: "v2",
+			Rule:    "lookup",
+		}, deliverer.Result{
+			Status:   http.StatusOK,
+			Duration: slow,
+		})
+	}
+	if !d.judge.Bad(rollout) {
+		t.Error("a version five times as slow as the old one is not found bad")
+	}
+}
