sidecar: log each judged response of a new version

The logs of a slow version that was completed had the durations, but neither the mean of the old version that they were compared with nor the number of responses that counted as slow. They couldn't tell a wrong mean from a fraction below the threshold. Each judged response leaves a line now, with both, at the rate of the new version's responses, which is that of "target ran a request".

--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -36,9 +36,16 @@
 	MeanDuration time.Duration
 }
 
+// slow reports whether the response took much longer than the mean.
+func (r RequestResult) slow() bool {
+	return !r.Failed && float64(r.Duration) > slowFactor*float64(r.MeanDuration)
+}
+
 // Totals counts responses: those of one target, or of all targets of a version.
 type Totals struct {
 	Calls, Failures int
+	// Slow counts the responses that took much longer than the mean.
+	Slow int
 }
 
 // Thresholds for the responses of all targets of a version. The version is bad
@@ -97,6 +104,9 @@
 	if res.Failed {
 		j.total.Failures++
 	}
+	if res.slow() {
+		j.total.Slow++
+	}
 	j.bad = j.bad || c.bad(baselineFailureRate)
 	return j.bad
 }
@@ -128,7 +138,7 @@
 	switch {
 	case res.Failed:
 		c.failures++
-	case float64(res.Duration) > slowFactor*float64(res.MeanDuration):
+	case res.slow():
 		c.slow++
 	}
 }
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -54,7 +54,11 @@
 	if d.gate.IsCold() {
 		res.Duration = 0
 	}
-	if !d.judge.Add(*s.rollout, res, d.chooser.FaultRate(s.targets)) {
+	bad := d.judge.Add(*s.rollout, res, d.chooser.FaultRate(s.targets))
+	total := d.judge.Total(*s.rollout)
+	d.log.Info("response of a new version", "request", attempt.ID, "rule", attempt.Rule, "took", res.Duration, "mean", res.MeanDuration,
+		"calls", total.Calls, "failures", total.Failures, "slow", total.Slow)
+	if !bad {
 		d.publishCounts(s, res.Failed)
 		return
 	}
