sidecar: compare a new version's durations with the old version's as its callers know it

Cause: the daemon of a new version's target judges its durations by the mean at the old version's targets, which it knows only from requests that it has sent there itself. A rule that only another service's targets call is never sent by it, so the default service time of 60 ms stood in for the old version's 15 ms. Nothing was slow below 210 ms; callers wait for 200 ms.

TestSlowVersionOfInternalServiceIsRolledBack failed before, 2 of 2: "completed, want rolled_back".

Change: the daemon that sends a request to a canary sends the mean of the old version's targets along, by their last reports; it sends the rest of the rule's requests to them. A duration without a known mean is not judged. Daemons of versions before send no mean; then the target's daemon uses its own as before.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -61,6 +61,7 @@
 		Deadline:  time.Now().Add(20 * time.Second),
 		Objective: time.Now().Add(10 * time.Second),
 		MaxWait:   30 * time.Millisecond,
+		Baseline:  15 * time.Millisecond,
 		Method:    "POST",
 		URI:       "/pay/%2f?a=b;c&",
 		Host:      "a.example",
@@ -97,7 +98,7 @@
 			t.Errorf("response %+v, want the one that the server returned", resp)
 		}
 		if got.ID != sent.ID || got.URI != sent.URI || got.Host != sent.Host || got.Instance != "i-1" || got.Priority != 2 || got.Kind != matcher.NonIdempotent ||
-			got.Caller != "c" || got.MaxWait != sent.MaxWait || string(got.Body) != body {
+			got.Caller != "c" || got.MaxWait != sent.MaxWait || got.Baseline != sent.Baseline || string(got.Body) != body {
 			t.Errorf("received attempt %+v, want the one that was sent", got)
 		}
 		if got.Header.Get("X-Own") != "1" || got.Header.Get("X-Hop") != "" || got.Header.Get("Coltsfoot-Key") != "" {
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -22,6 +22,7 @@
 	queueTimeoutHeader   = "Coltsfoot-Patience"
 	remainingHeader      = "Coltsfoot-Left"
 	objectiveHeader      = "Coltsfoot-Useful"
+	baselineHeader       = "Coltsfoot-Baseline"
 	runningHeader        = "Coltsfoot-Running"
 	queuedHeader         = "Coltsfoot-Queued"
 	slotsHeader          = "Coltsfoot-Slots"
@@ -79,6 +80,9 @@
 	setDurationHeader(h, queueTimeoutHeader, a.MaxWait)
 	setDurationHeader(h, objectiveHeader, time.Until(a.Objective))
 	setDurationHeader(h, remainingHeader, time.Until(a.Deadline))
+	if a.Baseline > 0 {
+		setDurationHeader(h, baselineHeader, a.Baseline)
+	}
 }
 
 // readAttempt returns the attempt in a request, without its body.
@@ -96,6 +100,7 @@
 		Deadline:  time.Now().Add(durationHeader(h, remainingHeader)),
 		Objective: time.Now().Add(durationHeader(h, objectiveHeader)),
 		MaxWait:   durationHeader(h, queueTimeoutHeader),
+		Baseline:  durationHeader(h, baselineHeader),
 		Method:    r.Method,
 		URI:       r.RequestURI,
 		Host:      r.Host,
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -234,7 +234,7 @@
 }
 
 // ServiceTimeAt returns the mean service time of the requests of a rule at some targets,
-// each counted by its last report, or that at all targets if none has reported.
+// each counted by its last report, or 0 if none has reported.
 func (c *Chooser) ServiceTimeAt(rule string, targets []Target) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -247,7 +247,7 @@
 		}
 	}
 	if known == 0 {
-		return c.meanServiceTime(rule)
+		return 0
 	}
 	return sum / time.Duration(known)
 }
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -82,6 +82,10 @@
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
 	}
+	var baseline time.Duration
+	if c.canary {
+		baseline = d.Chooser.ServiceTimeAt(c.rule.Name, d.Pool(c.service).Targets)
+	}
 	return &carrier.Attempt{
 		ID:        c.client.ID,
 		Service:   c.service,
@@ -94,6 +98,7 @@
 		Deadline:  c.deadline,
 		Objective: r.Began.Add(c.rule.Objective),
 		MaxWait:   queueTimeout,
+		Baseline:  baseline,
 		MayGiveUp: d.mayGiveUp(c),
 		Method:    r.Method,
 		URI:       uri,
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -32,13 +32,14 @@
 	Rule     string
 	Failed   bool
 	Duration time.Duration
-	// MeanDuration is the mean duration of the rule's requests at the old version.
+	// MeanDuration is the mean duration of the rule's requests at the old version, or 0 if
+	// it is unknown. The duration is not judged then.
 	MeanDuration time.Duration
 }
 
 // slow reports whether the response took much longer than the mean.
 func (r RequestResult) slow() bool {
-	return !r.Failed && float64(r.Duration) > slowFactor*float64(r.MeanDuration)
+	return !r.Failed && r.MeanDuration > 0 && float64(r.Duration) > slowFactor*float64(r.MeanDuration)
 }
 
 // Totals counts responses: those of one target, or of all targets of a version.
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -49,7 +50,7 @@
 		Rule:         attempt.Rule,
 		Failed:       r.TargetFailed() && r.Status != http.StatusGatewayTimeout,
 		Duration:     r.Duration,
-		MeanDuration: d.chooser.ServiceTimeAt(attempt.Rule, s.targets),
+		MeanDuration: cmp.Or(attempt.Baseline, d.chooser.ServiceTimeAt(attempt.Rule, s.targets)),
 	}
 	if d.gate.IsCold() {
 		res.Duration = 0
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -535,6 +535,30 @@
 	}
 }
 
+// TestSlowVersionOfInternalServiceIsRolledBack guards against judging durations at a daemon
+// that sends no requests to the service itself.
+func TestSlowVersionOfInternalServiceIsRolledBack(t *testing.T) {
+	m := newMesh(t)
+	caller := m.addNode("zilina", "portal", "v1")
+	baseline := m.addNode("zilina", "renewal", "v1")
+	m.writePlan(1, safeRule, rule{Prefix: "/p/", Kind: "safe", Service: "portal"})
+	m.waitForMembers()
+	defer caller.startLoad("/s/")()
+	m.startRollout("renewal", "v2", 6)
+	m.waitFor("the rollout runs", func() bool { return m.rolloutState("renewal") == "running" })
+	canary := m.addNode("martin", "renewal", "v2")
+	// Faster than 3.5 times the service time that the chooser assumes of an unknown rule.
+	canary.backend.SetFaults(emulator.BackendFaults{Slow: 100 * time.Millisecond})
+	m.waitFor("the rollout ends", func() bool { return m.rolloutState("renewal") != "running" })
+	if state := m.rolloutState("renewal"); state != "rolled_back" {
+		t.Errorf("rollout of a version that is 20 times as slow: %s, want rolled_back", state)
+	}
+	slow, all := len(canary.backend.Arrivals()), len(canary.backend.Arrivals())+len(baseline.backend.Arrivals())
+	if slow > 50+all/10 {
+		t.Errorf("the slow version got %d of %d requests, want at most 50 and a tenth of all", slow, all)
+	}
+}
+
 // TestStoreOutage checks that during a store outage a restarted daemon fetches the
 // configuration from a peer, and that all daemons register again soon after it.
 func TestStoreOutage(t *testing.T) {
