sidecar: judge a new version's slow responses at all its targets together

Cause: failures were added up over the version's targets, slow responses were not. At the first share of 3% a target gets too few requests to show that it is slow in six of them, and a version of which half of the responses are slow stays close to the fraction of 0.3 that a single target has to exceed.

Change: targets publish how many durations were judged and how many were slow, after each slow response as after each failure; daemons add them up, those of gone daemons included. A version with 8 slow responses that are 15% of those judged is bad. The durations of cold targets aren't judged, and no longer count as fast.

--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -79,11 +79,14 @@
 	Instance string `json:"instance,omitempty"`
 	// Withdrawn means that the daemon has declared the target's version bad.
 	Withdrawn bool `json:"withdrawn,omitempty"`
-	// Calls counts the target's responses, and Failures the failed ones among
-	// them, during the rollout of its version whose record has the revision Rollout.
-	// They are announced with each failure.
+	// Calls counts the target's responses during the rollout of its version whose
+	// record has the revision Rollout. Failures counts the failed ones among them, Timed
+	// those whose duration was judged and Slow the slow ones among those. They are
+	// announced with each failure and each slow response.
 	Calls    int    `json:"calls,omitempty"`
 	Failures int    `json:"faults,omitempty"`
+	Timed    int    `json:"timed,omitempty"`
+	Slow     int    `json:"slow,omitempty"`
 	Rollout  uint64 `json:"rollout,omitempty"`
 }
 
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -37,38 +37,77 @@
 	MeanDuration time.Duration
 }
 
+// timed reports whether the duration of the response is judged.
+func (r RequestResult) timed() bool {
+	return !r.Failed && r.MeanDuration > 0
+}
+
 // slow reports whether the response took much longer than the mean.
 func (r RequestResult) slow() bool {
-	return !r.Failed && r.MeanDuration > 0 && float64(r.Duration) > slowFactor*float64(r.MeanDuration)
+	return r.timed() && float64(r.Duration) > slowFactor*float64(r.MeanDuration)
 }
 
 // Totals counts responses: those of one target, or of all targets of a version.
 type Totals struct {
 	Calls, Failures int
-	// Slow counts the responses that took much longer than the mean.
-	Slow int
+	// Timed counts the responses whose duration was judged, and Slow those among them that
+	// took much longer than the mean.
+	Timed, Slow int
+}
+
+// minus returns the difference t - o.
+func (t Totals) minus(o Totals) Totals {
+	return Totals{
+		Calls:    t.Calls - o.Calls,
+		Failures: t.Failures - o.Failures,
+		Timed:    t.Timed - o.Timed,
+		Slow:     t.Slow - o.Slow,
+	}
+}
+
+// plus returns the sum of t and o.
+func (t Totals) plus(o Totals) Totals {
+	return Totals{
+		Calls:    t.Calls + o.Calls,
+		Failures: t.Failures + o.Failures,
+		Timed:    t.Timed + o.Timed,
+		Slow:     t.Slow + o.Slow,
+	}
+}
+
+// atLeast reports whether no count of t is less than that of o.
+func (t Totals) atLeast(o Totals) bool {
+	return t.Calls >= o.Calls && t.Failures >= o.Failures && t.Timed >= o.Timed && t.Slow >= o.Slow
 }
 
 // Thresholds for the responses of all targets of a version. The version is bad
 // if its failures exceed the number expected at the old version's failure rate
 // by at least maxDeviations standard deviations of a Poisson distribution plus
-// extraFailures. The expected rate is at least minExpectedFailureRate.
+// extraFailures. The expected rate is at least minExpectedFailureRate. It is also bad if at
+// least minTotalSlow responses, and a fraction of at least minTotalSlowRate of those that
+// were judged, are slow. That fraction is less than minSlowRate because a single target that
+// is slow by itself gets a part of the requests only.
 const (
 	minExpectedFailureRate = 0.003
 	maxDeviations          = 3
 	extraFailures          = 2
+	minTotalSlow           = 8
+	minTotalSlowRate       = 0.15
 )
 
-// Bad reports whether the version's failures exceed the threshold.
+// Bad reports whether the version's failures or slow responses exceed the threshold.
 // baselineFailureRate is the old version's failure rate, 0 to 1.
 func (t Totals) Bad(baselineFailureRate float64) bool {
+	if t.Slow >= minTotalSlow && float64(t.Slow) >= minTotalSlowRate*float64(t.Timed) {
+		return true
+	}
 	expected := float64(t.Calls) * max(minExpectedFailureRate, baselineFailureRate)
 	return float64(t.Failures) >= expected+maxDeviations*math.Sqrt(expected)+extraFailures
 }
 
 // ruleCounts counts the responses to the requests of one rule.
 type ruleCounts struct {
-	calls, failures, slow float64
+	calls, failures, timed, slow float64
 }
 
 // Judge counts the responses of one target during a rollout and compares them
@@ -105,6 +144,9 @@
 	if res.Failed {
 		j.total.Failures++
 	}
+	if res.timed() {
+		j.total.Timed++
+	}
 	if res.slow() {
 		j.total.Slow++
 	}
@@ -133,13 +175,17 @@
 	if c.calls >= maxCounted {
 		c.calls /= 2
 		c.failures /= 2
+		c.timed /= 2
 		c.slow /= 2
 	}
 	c.calls++
-	switch {
-	case res.Failed:
+	if res.Failed {
 		c.failures++
-	case res.slow():
+	}
+	if res.timed() {
+		c.timed++
+	}
+	if res.slow() {
 		c.slow++
 	}
 }
@@ -148,5 +194,5 @@
 	if c.failures >= minFailures && c.failures/c.calls >= max(minFailureRate, baselineFactor*baselineFailureRate) {
 		return true
 	}
-	return c.slow >= minSlowResponses && c.slow/c.calls >= minSlowRate
+	return c.slow >= minSlowResponses && c.slow/c.timed >= minSlowRate
 }
--- a/internal/shifter/results.go
+++ b/internal/shifter/results.go
@@ -11,12 +11,11 @@
 // Add counts what a daemon reports.
 func (c *Results) Add(daemon string, report Totals) {
 	last := c.lastReports[daemon]
-	if report.Calls < last.Calls || report.Failures < last.Failures {
+	if !report.atLeast(last) {
 		// The daemon has restarted.
 		last = Totals{}
 	}
-	c.total.Calls += report.Calls - last.Calls
-	c.total.Failures += report.Failures - last.Failures
+	c.total = c.total.plus(report.minus(last))
 	if c.lastReports == nil {
 		c.lastReports = map[string]Totals{}
 	}
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -107,6 +107,10 @@
 		"few failures among many responses":           {totals: shifter.Totals{Calls: 1000, Failures: 4}},
 		"one failure in twelve":                       {totals: shifter.Totals{Calls: 90, Failures: 8}, bad: true},
 		"one failure in twelve, old version the same": {totals: shifter.Totals{Calls: 90, Failures: 8}, baselineFailureRate: 0.08},
+		"seven slow responses":                        {totals: shifter.Totals{Calls: 7, Timed: 7, Slow: 7}},
+		"a sixth of the responses slow":               {totals: shifter.Totals{Calls: 48, Timed: 48, Slow: 8}, bad: true},
+		"a tenth of the responses slow":               {totals: shifter.Totals{Calls: 500, Timed: 500, Slow: 50}},
+		"a quarter of the judged durations slow":      {totals: shifter.Totals{Calls: 500, Timed: 40, Slow: 10}, bad: true},
 		"most fail, old version fails less":           {totals: shifter.Totals{Calls: 60, Failures: 40}, baselineFailureRate: 0.2, bad: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -53,44 +53,56 @@
 		MeanDuration: cmp.Or(attempt.Baseline, d.chooser.ServiceTimeAt(attempt.Rule, s.targets)),
 	}
 	if d.gate.IsCold() {
-		res.Duration = 0
+		res.MeanDuration = 0
 	}
 	bad := d.judge.Add(*s.rollout, res, d.chooser.FaultRate(s.targets))
 	total := d.judge.Total(*s.rollout)
 	d.log.Info("response of a new version", "request", attempt.ID, "rule", attempt.Rule, "took", res.Duration, "mean", res.MeanDuration,
-		"calls", total.Calls, "failures", total.Failures, "slow", total.Slow)
+		"calls", total.Calls, "failures", total.Failures, "timed", total.Timed, "slow", total.Slow)
 	if !bad {
-		d.publishCounts(s, res.Failed)
+		d.publishCounts(s)
 		return
 	}
 	d.log.Warn("version found bad", "service", attempt.Service, "version", attempt.Version, "rule", attempt.Rule, "request", attempt.ID)
 	go d.withdraw(*s.rollout)
 }
 
-// publishCounts sends the local target's numbers of calls and failures to the
-// other members: after each failure, whenever the number of calls has doubled, and once
-// every countsPeriod while the completion of the rollout depends on them.
-func (d *Daemon) publishCounts(s *serviceView, failed bool) {
+// publishCounts sends the local target's counts to the other members: after each failure
+// and each slow response, whenever the number of calls has doubled, and once every
+// countsPeriod while the completion of the rollout depends on them.
+func (d *Daemon) publishCounts(s *serviceView) {
 	r := *s.rollout
 	self := d.members.Self().Target
 	if self == nil || self.Version != r.Version {
 		return
 	}
-	published := 0
+	var published shifter.Totals
 	if self.Rollout == r.Revision {
-		published = self.Calls
+		published = totalsOf(*self)
 	}
 	total := d.judge.Total(r)
-	doubled := total.Calls >= 2*max(minDoublingBase, published)
-	if !failed && !doubled && !d.countsDue(s) {
+	evidence := total.Failures > published.Failures || total.Slow > published.Slow
+	doubled := total.Calls >= 2*max(minDoublingBase, published.Calls)
+	if !evidence && !doubled && !d.countsDue(s) {
 		return
 	}
 	d.countsPublished.Store(d.clock.Now().UnixNano())
 	next := *self
 	next.Rollout, next.Calls, next.Failures = r.Revision, total.Calls, total.Failures
+	next.Timed, next.Slow = total.Timed, total.Slow
 	d.publishTarget(&next)
 }
 
+// totalsOf returns the counts that a target's daemon has published.
+func totalsOf(t prober.Target) shifter.Totals {
+	return shifter.Totals{
+		Calls:    t.Calls,
+		Failures: t.Failures,
+		Timed:    t.Timed,
+		Slow:     t.Slow,
+	}
+}
+
 // countsDue reports whether the completion of the rollout depends on counts that were
 // last published countsPeriod ago.
 func (d *Daemon) countsDue(s *serviceView) bool {
@@ -109,10 +121,7 @@
 	}
 	for _, m := range members {
 		if m.Target != nil && countsFor(*m.Target, r) {
-			results.Add(m.ID, shifter.Totals{
-				Calls:    m.Target.Calls,
-				Failures: m.Target.Failures,
-			})
+			results.Add(m.ID, totalsOf(*m.Target))
 		}
 	}
 	return results.Total()
@@ -263,7 +272,7 @@
 	switch {
 	case err == nil:
 		d.log.Info("outcome written", "service", o.Service, "version", o.Version, "state", o.State, "revision", revision,
-			"tried", s.trial.Elapsed(d.clock.Now()), "calls", s.results.Calls, "failures", s.results.Failures)
+			"tried", s.trial.Elapsed(d.clock.Now()), "calls", s.results.Calls, "failures", s.results.Failures, "timed", s.results.Timed, "slow", s.results.Slow)
 	case errors.Is(err, storer.ErrConflict):
 		d.log.Info("outcome already written by another daemon", "service", o.Service, "version", o.Version)
 	default:
--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -79,6 +80,8 @@
 			Instance: id,
 			Calls:    results.Calls,
 			Failures: results.Failures,
+			Timed:    results.Timed,
+			Slow:     results.Slow,
 			Rollout:  rollout.Revision,
 		},
 	})
@@ -157,6 +160,54 @@
 	}
 }
 
+// TestSlowResponsesOfAllTargetsCount guards against a slow version of which no target alone has
+// given enough slow responses.
+func TestSlowResponsesOfAllTargetsCount(t *testing.T) {
+	d := newRolloutDaemon()
+	const targets = 5
+	for i := range targets {
+		d.putTarget(fmt.Sprintf("martin-%d", i+1), "martin", "v2", shifter.Totals{Calls: 8, Timed: 8})
+	}
+	if share := d.pool("renewal").Share; share == 0 {
+		t.Error("withdrawn without a slow response")
+	}
+	for i := range targets {
+		d.putTarget(fmt.Sprintf("martin-%d", i+1), "martin", "v2", shifter.Totals{Calls: 10, Timed: 10, Slow: 2})
+	}
+	if state, ok := d.state(); !ok || state != shifter.RolledBack {
+		t.Errorf("state = %v, %v after 10 slow responses of 50, want %v", state, ok, shifter.RolledBack)
+	}
+}
+
+// TestSlowResponseIsPublished guards against slow responses that no other daemon hears of.
+func TestSlowResponseIsPublished(t *testing.T) {
+	const usual = 15 * time.Millisecond
+	d := newRolloutDaemon()
+	d.members.UpdateSelf(func(m prober.Member) prober.Member {
+		return m.WithTarget(&prober.Target{
+			Service:  "renewal",
+			Version:  "v2",
+			Slots:    4,
+			Instance: "zilina-1",
+		})
+	})
+	for _, duration := range []time.Duration{usual, usual, 8 * usual} {
+		d.judgeAttempt(&carrier.Attempt{
+			Service:  "renewal",
+			Version:  "v2",
+			Rule:     "lookup",
+			Baseline: usual,
+		}, deliverer.Result{
+			Status:   http.StatusOK,
+			Duration: duration,
+		})
+	}
+	got := totalsOf(*d.members.Self().Target)
+	if want := (shifter.Totals{Calls: 3, Timed: 3, Slow: 1}); got != want {
+		t.Errorf("published %+v after a slow response, want %+v", got, want)
+	}
+}
+
 // TestEarlierRolloutDoesNotCount guards against results of a version's earlier rollout.
 func TestEarlierRolloutDoesNotCount(t *testing.T) {
 	d := newRolloutDaemon()
