sidecar: fetch records from peers while the store leaves a watch unanswered

Cause: a daemon asked its peers only after a failed watch. A watch that the store no longer answers fails after 25 s. Until then the store counted as reached, though renewals of the registration failed; relays said so too.

Change: a daemon also asks its peers while its registration cannot be renewed. All daemons that watch, not only relays, renew every 0.7 s (1.9 s before), so that silence is noticed within 1.4 s.

--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -170,13 +170,15 @@
 }
 
 // pollPeers fetches newer records from a peer while the store is unreachable and no
-// relay sends updates. It also tries to rejoin daemons that are gone.
+// relay sends updates. Failed renewals of the registration show that too: the store may
+// keep a watch open that it no longer answers. It also tries to rejoin daemons that are
+// gone.
 func (d *Daemon) pollPeers(ctx context.Context) {
 	nextRejoin := d.clock.Now().Add(rejoinPeriod)
 	for ctx.Err() == nil {
 		sleep(ctx, peerPollPeriod)
 		for _, f := range d.followers() {
-			if d.watching() && !d.dependencyReached("store "+f.Prefix) {
+			if d.watching() && !(d.dependencyReached("store "+f.Prefix) && d.dependencyReached("store registration")) {
 				d.fetchFromPeer(ctx, f)
 			}
 		}
--- a/internal/sidecar/registration.go
+++ b/internal/sidecar/registration.go
@@ -17,15 +17,16 @@
 
 // Intervals of the daemon's registration in the store and of looking up its peers.
 const (
-	// leaseTTL is the time to live of the daemon's key in the store. A relay renews
-	// its lease every relayRenewPeriod, to notice a store outage within that time.
-	// The other daemons renew every otherRenewPeriod. When a relay's update shows
+	// leaseTTL is the time to live of the daemon's key in the store. A daemon that
+	// watches the store renews its lease every watcherRenewPeriod, to notice within that
+	// time and the timeout of a call that the store no longer answers. The other
+	// daemons renew every otherRenewPeriod. When a relay's update shows
 	// that the store is reachable again, they renew after a random delay of up to
 	// renewJitter. So all keys are written again within two seconds.
-	leaseTTL         = 20 * time.Second
-	relayRenewPeriod = 1900 * time.Millisecond
-	otherRenewPeriod = 6 * time.Second
-	renewJitter      = time.Second
+	leaseTTL           = 20 * time.Second
+	watcherRenewPeriod = 700 * time.Millisecond
+	otherRenewPeriod   = 6 * time.Second
+	renewJitter        = time.Second
 	// relayRegisterPause is a relay's pause after a failed call to the store, and
 	// otherRegisterPause that of the other daemons, which receive a relay's
 	// update when the store is reachable again.
@@ -63,7 +64,7 @@
 			d.restartWatches()
 		}
 		if err != nil {
-			d.waitForNextCall(ctx, relayRegisterPause, otherRegisterPause)
+			d.waitForNextCall(ctx, d.registerPause())
 			continue
 		}
 		if !d.clock.Now().Before(nextLookup) && d.lookUpDaemons(ctx) == nil {
@@ -72,18 +73,29 @@
 				nextLookup = d.clock.Now().Add(secondLookupDelay)
 			}
 		}
-		d.waitForNextCall(ctx, relayRenewPeriod, otherRenewPeriod)
+		d.waitForNextCall(ctx, d.renewPeriod())
 	}
 }
 
-// waitForNextCall waits until the next call to the store is due: for relayPeriod if
-// the daemon is a relay, otherwise for otherPeriod. Once the store is reachable again,
-// it waits for up to renewJitter only.
-func (d *Daemon) waitForNextCall(ctx context.Context, relayPeriod, otherPeriod time.Duration) {
-	period := otherPeriod
+// renewPeriod returns the time until the next renewal of the lease.
+func (d *Daemon) renewPeriod() time.Duration {
+	if d.watching() {
+		return watcherRenewPeriod
+	}
+	return otherRenewPeriod
+}
+
+// registerPause returns the pause after a failed call to the store.
+func (d *Daemon) registerPause() time.Duration {
 	if d.isRelay() {
-		period = relayPeriod
+		return relayRegisterPause
 	}
+	return otherRegisterPause
+}
+
+// waitForNextCall waits for a period until the next call to the store is due. Once the
+// store is reachable again, it waits for up to renewJitter only.
+func (d *Daemon) waitForNextCall(ctx context.Context, period time.Duration) {
 	timer := time.NewTimer(period)
 	defer timer.Stop()
 	select {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,7 +27,9 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/emulator"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/ranker"
 	"github.com/coltsfootlane/coltsfootlane/internal/sidecar"
+	"github.com/coltsfootlane/coltsfootlane/internal/soaker"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/parser"
 	"github.com/coltsfootlane/coltsfootlane/platform"
@@ -595,6 +599,40 @@
 	}
 }
 
+// TestSilentStoreIsBypassed guards against a relay that waits for a watch which the store no
+// longer answers, while another daemon has the records.
+func TestSilentStoreIsBypassed(t *testing.T) {
+	m := newMesh(t)
+	store := m.store
+	links := map[string]*soaker.Link{}
+	for range 3 {
+		link, err := soaker.NewLink(m.freeAddress(), store)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(link.Close)
+		m.store = link.Address()
+		links[m.addNode("zilina", "renewal", "v1").settings.Name] = link
+	}
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	for _, relay := range ranker.Top("relay", slices.Collect(maps.Keys(links)), 2) {
+		links[relay].SetFault(soaker.Fault{
+			StallToServer:   true,
+			StallFromServer: true,
+		})
+	}
+	m.writePlan(2, safeRule)
+	start := time.Now()
+	for _, n := range m.nodes {
+		m.waitFor("plan 2 at "+n.settings.Name, func() bool { return n.gauge("plan.version") == 2 })
+	}
+	// A watch takes 25 s.
+	if elapsed := time.Since(start); elapsed > 15*time.Second {
+		t.Errorf("all daemons have the plan after %v, want at most 15s", elapsed)
+	}
+}
+
 // TestFewCallsDuringStoreOutage checks that only relays retry often during a store
 // outage, so that the number of calls stays low.
 func TestFewCallsDuringStoreOutage(t *testing.T) {
