sidecar: watch the store at once when the relays have lost it

Change: daemons keep the last update of each relay, and forget a relay that says that it does not reach the store. A relay sends an update as soon as it loses a dependency.

Evidence: TestRelayThatLosesStoreIsReplacedAtOnce fails without the change.

--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -122,8 +122,8 @@
 }
 
 // setDependency records whether a dependency is reachable, logs a change, and
-// reports whether the state has changed. When a dependency is reachable again, it
-// wakes the registration loop and triggers a relay update.
+// reports whether the state has changed. A change triggers a relay update. When a
+// dependency is reachable again, it wakes the registration loop.
 func (d *Daemon) setDependency(name string, ok bool, err error) (changed bool) {
 	value, known := d.dependencies.LoadOrStore(name, &atomic.Bool{})
 	wasReached := value.(*atomic.Bool).Swap(ok)
@@ -137,6 +137,7 @@
 		}
 	case !ok && wasReached:
 		d.log.Warn("dependency lost", "dependency", name, "err", err)
+		d.triggerRelayUpdate()
 	}
 	return ok != wasReached
 }
--- a/internal/sidecar/relays.go
+++ b/internal/sidecar/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -60,8 +61,29 @@
 // because no relay that reaches the store has sent an update within
 // relayUpdateTTL.
 func (d *Daemon) watching() bool {
-	received := d.lastRelayUpdate.Load()
-	return d.isRelay() || received == nil || d.clock.Now().Sub(*received) > relayUpdateTTL
+	return d.isRelay() || !d.hasRelay()
+}
+
+// hasRelay reports whether a relay that reaches the store has sent an update within
+// relayUpdateTTL. It forgets the relays whose updates are older.
+func (d *Daemon) hasRelay() bool {
+	now := d.clock.Now()
+	d.relayUpdatesMu.Lock()
+	defer d.relayUpdatesMu.Unlock()
+	maps.DeleteFunc(d.relayUpdates, func(_ string, received time.Time) bool { return now.Sub(received) > relayUpdateTTL })
+	return len(d.relayUpdates) > 0
+}
+
+// recordRelayUpdate records whether a relay reaches the store. One that no longer does is
+// forgotten at once.
+func (d *Daemon) recordRelayUpdate(relay string, storeReachable bool) {
+	d.relayUpdatesMu.Lock()
+	defer d.relayUpdatesMu.Unlock()
+	if storeReachable {
+		d.relayUpdates[relay] = d.clock.Now()
+	} else {
+		delete(d.relayUpdates, relay)
+	}
 }
 
 // retryPause returns the pause after a failed watch.
@@ -134,9 +156,8 @@
 // handleRelayUpdate records a relay's update and fetches the relay's records that
 // are newer than the daemon's own.
 func (d *Daemon) handleRelayUpdate(_ context.Context, u relayUpdate) (struct{}, error) {
+	d.recordRelayUpdate(u.From, u.StoreReachable)
 	if u.StoreReachable {
-		now := d.clock.Now()
-		d.lastRelayUpdate.Store(&now)
 		if known, ok := d.relayRecoveries.Swap(u.From, u.Recoveries); ok && known != u.Recoveries {
 			d.signalStoreRecovery()
 		}
--- /dev/null
+++ b/internal/sidecar/relays_test.go
@@ -0,0 +1,59 @@
+package sidecar
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/prober"
+)
+
+// newNonRelay returns a daemon that is no relay of its data centre, and the names of the
+// relays.
+func newNonRelay(t *testing.T) (*rolloutDaemon, []string) {
+	t.Helper()
+	d := newRolloutDaemon()
+	for i := range 20 {
+		d.members.Merge(prober.Member{
+			ID:          fmt.Sprintf("zilina-%d", i+10),
+			DC:          "zilina",
+			Incarnation: 1,
+		})
+	}
+	relays := d.relaysOf("zilina")
+	if len(relays) != relaysPerDC || slices.Contains(relays, d.settings.Name) {
+		t.Fatalf("relays = %v, want %d others", relays, relaysPerDC)
+	}
+	return d, relays
+}
+
+// TestRelayThatLosesStoreIsReplacedAtOnce guards against daemons that wait for a relay
+// which has said that it does not reach the store.
+func TestRelayThatLosesStoreIsReplacedAtOnce(t *testing.T) {
+	d, relays := newNonRelay(t)
+	update := func(relay string, reachable bool) {
+		t.Helper()
+		if _, err := d.handleRelayUpdate(t.Context(), relayUpdate{From: relay, StoreReachable: reachable}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !d.watching() {
+		t.Error("does not watch the store before the first update of a relay")
+	}
+	update(relays[0], true)
+	update(relays[1], true)
+	update(relays[0], false)
+	if d.watching() {
+		t.Error("watches the store while one of two relays reaches it")
+	}
+	update(relays[1], false)
+	if !d.watching() {
+		t.Error("does not watch the store although both relays have lost it")
+	}
+	update(relays[1], true)
+	d.clock.Advance(relayUpdateTTL + time.Millisecond)
+	if !d.watching() {
+		t.Errorf("does not watch the store %v after the last update", relayUpdateTTL)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -162,10 +162,12 @@
 	// joined is set after the first successful lookup of the other daemons, also if
 	// it found none.
 	joined atomic.Bool
-	// lastRelayUpdate is the time of the last update of a relay that reaches the
-	// store. relayUpdateDue receives a value when a relay has to send an update.
-	lastRelayUpdate atomic.Pointer[time.Time]
-	relayUpdateDue  chan struct{}
+	// relayUpdates holds the time of the last update of each relay that reaches the
+	// store, by its name. relayUpdatesMu guards it. relayUpdateDue receives a value when a
+	// relay has to send an update.
+	relayUpdatesMu sync.Mutex
+	relayUpdates   map[string]time.Time
+	relayUpdateDue chan struct{}
 	// storeRecoveries counts how often the store became reachable again after an
 	// outage, and relayRecoveries holds the counts that relays report.
 	// storeRecovered receives a value when the store is reachable again.
@@ -254,6 +256,7 @@
 		unannouncedLeaves: map[string]time.Time{},
 		peerAddresses:     map[string]string{},
 		memberCallSem:     make(chan struct{}, maxMemberCalls),
+		relayUpdates:      map[string]time.Time{},
 		relayUpdateDue:    make(chan struct{}, 1),
 		storeRecovered:    make(chan struct{}, 1),
 		membersChanged:    make(chan struct{}, 1),
