admitter: enforce the rate that a target names

Cause: no code read the limit. The gate knew the target's slots and the rate of cold targets only.

Change: the daemon of the target reads the limit from each response to its own attempts, refusals included, and admits no more than that in any window of about a second; a limit under one in four seconds counts as that, so that its end is seen. The limit ends with an executed response that names none. Requests that can't wait are rejected at once with the time of the next place.

All requests pass the gate of the target's own daemon, so the sum over daemons holds without an exchange between them.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -3,7 +3,8 @@
 // All requests to a target are admitted by the gate on the target's own VM. The
 // limits therefore hold regardless of the state of other daemons: at most Slots
 // requests at once, at most ColdRate requests per second while the target is cold
-// (warming up), and none while it is shutting down. Requests queue in the order
+// (warming up), no more per second than the target names, and none while it is shutting
+// down. Requests queue in the order
 // of their priority. A request that is not expected to get its response in time is
 // rejected at once.
 package admitter
@@ -25,6 +26,7 @@
 	ErrBusy          = classifier.NewFailure(classifier.NotRun, "target busy", nil)
 	ErrBreakerOpen   = classifier.NewFailure(classifier.NotRun, "target turns requests away", nil)
 	ErrCold          = classifier.NewFailure(classifier.NotRun, "target cold", nil)
+	ErrLimited       = classifier.NewFailure(classifier.NotRun, "target limits its requests", nil)
 	ErrDeadline      = classifier.NewFailure(classifier.NotRun, "too little time left", nil)
 	ErrQueueTimeout  = classifier.NewFailure(classifier.NotRun, "waited too long for a slot", nil)
 	ErrCanceled      = classifier.NewFailure(classifier.NotRun, "client went away while waiting", nil)
@@ -32,9 +34,8 @@
 
 // Limits of a gate.
 const (
-	// coldWindow is the sliding window in which the requests of a cold target are
-	// counted.
-	coldWindow = time.Second
+	// queueCheckPeriod is the longest time between two checks of the queue.
+	queueCheckPeriod = time.Second
 	// maxQueuePerSlot bounds the length of the queue, in requests per slot.
 	maxQueuePerSlot = 4
 	// maxBurst is how long the queue may stay non-empty before requests that would
@@ -101,10 +102,13 @@
 	// the target may have restarted since its last announcement.
 	coldUntil     time.Time
 	coldSuspected bool
-	running       int
-	queue         []*waiter
-	admittedAt    []time.Time
-	serviceTime   map[string]time.Duration
+	// limit is the number of requests per second that the target takes, or 0 if it
+	// has named none.
+	limit       float64
+	running     int
+	queue       []*waiter
+	admittedAt  []time.Time
+	serviceTime map[string]time.Duration
 	// failureRate is the exponentially weighted average of the fraction of
 	// requests that failed or were not run. faultRate is that of the fraction that
 	// failed among those that the target has run.
@@ -124,6 +128,7 @@
 		g.failureRate, g.faultRate = 0, 0
 		g.breaker = breaker{}
 		g.admittedAt = nil
+		g.limit = 0
 	}
 	g.target = &t
 	g.coldSuspected = false
@@ -230,12 +235,12 @@
 	if len(g.queue) == 0 && g.canAdmitNow(now) {
 		return nil
 	}
-	coldDelay := g.coldWait(now)
-	wait := g.expectedWait(r, coldDelay)
+	rateDelay := g.rateWait(now)
+	wait := g.expectedWait(r, rateDelay)
 	expectedEnd := now.Add(wait + g.meanServiceTime(r.Rule))
 	switch {
-	case wait > r.MaxWait && coldDelay > 0 && g.running < g.target.Slots:
-		return ErrCold
+	case wait > r.MaxWait && rateDelay > 0 && g.running < g.target.Slots:
+		return g.rateError(now)
 	case wait > r.MaxWait, expectedEnd.After(r.Deadline):
 		return ErrBusy
 	case g.isStanding(now) && expectedEnd.After(r.Objective):
@@ -283,31 +288,18 @@
 	return g.target.ColdRate
 }
 
-// coldWait returns the time until a cold target can take the next request, or 0
-// for a warm one.
-func (g *Gate) coldWait(now time.Time) time.Duration {
-	if !g.cold(now) {
-		return 0
-	}
-	allowed := int(g.coldRate())
-	if len(g.admittedAt) < allowed {
-		return 0
-	}
-	return max(0, g.admittedAt[len(g.admittedAt)-allowed].Add(coldWindow).Sub(now))
-}
-
 func (g *Gate) canAdmitNow(now time.Time) bool {
-	return g.running < g.target.Slots && g.coldWait(now) == 0
+	return g.running < g.target.Slots && g.rateWait(now) == 0
 }
 
-// admit counts a request as running. It also records the time while the target
-// is warm, because the target may be suspected to be cold later.
+// admit counts a request as running. It also records the time while there is no bound
+// on the rate, because there may be one later.
 func (g *Gate) admit(now time.Time) {
 	g.running++
 	g.breaker.admitted()
 	g.admittedAt = append(g.admittedAt, now)
 	expired := 0
-	for expired < len(g.admittedAt) && now.Sub(g.admittedAt[expired]) > coldWindow {
+	for expired < len(g.admittedAt) && now.Sub(g.admittedAt[expired]) > maxRateWindow {
 		expired++
 	}
 	g.admittedAt = g.admittedAt[expired:]
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -147,6 +147,37 @@
 	}
 }
 
+// TestLimit checks that a target gets the number of requests per second that it names,
+// fractions included, and no more.
+func TestLimit(t *testing.T) {
+	for _, limit := range []float64{0.01, 0.5, 1.9, 43.7} {
+		manySlots := target()
+		manySlots.Slots = 100
+		r := newHarness(manySlots)
+		if !r.SetLimit(manySlots.Instance, limit) || r.SetLimit(manySlots.Instance, limit) {
+			t.Errorf("limit %v: SetLimit did not report just the first change", limit)
+		}
+		if r.SetLimit("another", 1) {
+			t.Error("limit of another instance taken over")
+		}
+		const length = 20 * time.Second
+		admitted := 0
+		for range length / time.Millisecond {
+			if err := r.acquire(r.newRequest()); err == nil {
+				admitted++
+				r.Release("status", admitter.Outcome{Duration: time.Millisecond})
+			} else if !errors.Is(err, admitter.ErrLimited) {
+				t.Fatalf("limit %v: error %v, want ErrLimited", limit, err)
+			}
+			r.clock.Advance(time.Millisecond)
+		}
+		want := max(limit, 0.25) * length.Seconds()
+		if float64(admitted) > want+max(1, limit) || float64(admitted) < want-1 {
+			t.Errorf("limit %v: %d requests admitted in %v, want about %.0f", limit, admitted, length, want)
+		}
+	}
+}
+
 // TestSuspectedColdTarget checks that the cold rate applies to a target that may
 // have restarted, and that requests admitted earlier count against it.
 func TestSuspectedColdTarget(t *testing.T) {
--- a/internal/admitter/load.go
+++ b/internal/admitter/load.go
@@ -21,10 +21,11 @@
 	if g.target != nil {
 		l.Slots = g.target.Slots
 	}
-	if wait := g.coldWait(g.Clock.Now()); wait > 0 {
-		l.ReopenAfter = wait + time.Duration(float64(len(g.queue))*float64(time.Second)/g.coldRate())
+	now := g.Clock.Now()
+	if wait := g.rateWait(now); wait > 0 {
+		l.ReopenAfter = wait + rateDuration(len(g.queue), g.rate(now))
 	}
-	l.ReopenAfter = max(l.ReopenAfter, g.breaker.wait(g.Clock.Now()))
+	l.ReopenAfter = max(l.ReopenAfter, g.breaker.wait(now))
 	return l
 }
 
@@ -88,5 +89,5 @@
 	}
 	wait := g.meanServiceTime(rule) * time.Duration(1+len(g.queue)) / time.Duration(slots)
 	now := g.Clock.Now()
-	return max(minRetryAfter, wait, g.coldWait(now), g.breaker.wait(now))
+	return max(minRetryAfter, wait, g.rateWait(now), g.breaker.wait(now))
 }
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -47,9 +47,9 @@
 	g.queue[i] = w
 }
 
-// expectedWait estimates how long a request would queue. cold is the delay that
-// coldWait has returned.
-func (g *Gate) expectedWait(r Request, cold time.Duration) time.Duration {
+// expectedWait estimates how long a request would queue. rateDelay is the delay that
+// rateWait has returned.
+func (g *Gate) expectedWait(r Request, rateDelay time.Duration) time.Duration {
 	ahead := 0
 	total := g.meanServiceTime(r.Rule)
 	for _, w := range g.queue {
@@ -59,8 +59,8 @@
 		}
 	}
 	wait := total / time.Duration(max(1, g.target.Slots))
-	if g.cold(g.Clock.Now()) {
-		wait = max(wait, cold+time.Duration(float64(ahead)*float64(time.Second)/g.coldRate()))
+	if rate := g.rate(g.Clock.Now()); rate > 0 {
+		wait = max(wait, rateDelay+rateDuration(ahead, rate))
 	}
 	return wait
 }
@@ -93,14 +93,14 @@
 }
 
 // setTimer schedules the next CheckQueue: when a cold target can take the next
-// request, when a waiter has too little time left, or after coldWindow, whichever
+// request, when a waiter has too little time left, or after queueCheckPeriod, whichever
 // is first.
 func (g *Gate) setTimer(now time.Time) {
 	if len(g.queue) == 0 {
 		return
 	}
-	next := coldWindow
-	if wait := g.coldWait(now); wait > 0 && g.running < g.target.Slots {
+	next := queueCheckPeriod
+	if wait := g.rateWait(now); wait > 0 && g.running < g.target.Slots {
 		next = wait
 	}
 	for _, w := range g.queue {
--- /dev/null
+++ b/internal/admitter/rate.go
@@ -0,0 +1,67 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+// minLimit is the lowest limit that is enforced, in requests per second. A target that
+// names a lower one still gets a request at times, as only its responses show the end of
+// the limit.
+const minLimit = 0.25
+
+// maxRateWindow is the longest window in which requests are counted.
+const maxRateWindow = time.Duration(float64(time.Second) / minLimit)
+
+// SetLimit sets the number of requests per second that an instance takes, or 0 if it names
+// none. It reports whether that has changed.
+func (g *Gate) SetLimit(instance string, perSecond float64) (changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if perSecond > 0 {
+		perSecond = max(minLimit, perSecond)
+	}
+	if g.target == nil || g.target.Instance != instance || g.limit == perSecond {
+		return false
+	}
+	g.limit = perSecond
+	g.serveQueue()
+	return true
+}
+
+// rate returns the number of requests per second that the target can take: its limit or,
+// while it is cold, the cold rate if that is lower. It returns 0 if there is no bound.
+func (g *Gate) rate(now time.Time) float64 {
+	if g.cold(now) && (g.limit == 0 || g.coldRate() < g.limit) {
+		return g.coldRate()
+	}
+	return g.limit
+}
+
+// rateWait returns the time until the target can take the next request, or 0 if there is
+// no bound.
+func (g *Gate) rateWait(now time.Time) time.Duration {
+	rate := g.rate(now)
+	if rate == 0 {
+		return 0
+	}
+	allowed := int(math.Ceil(rate))
+	if len(g.admittedAt) < allowed {
+		return 0
+	}
+	window := rateDuration(allowed, rate)
+	return max(0, g.admittedAt[len(g.admittedAt)-allowed].Add(window).Sub(now))
+}
+
+// rateError returns the rejection of a request that would exceed the rate.
+func (g *Gate) rateError(now time.Time) error {
+	if g.rate(now) == g.limit {
+		return ErrLimited
+	}
+	return ErrCold
+}
+
+// rateDuration returns the time in which a number of requests may be admitted at a rate.
+func rateDuration(requests int, rate float64) time.Duration {
+	return time.Duration(float64(requests) * float64(time.Second) / rate)
+}
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -25,6 +25,15 @@
 	// CheckResponse returns nil if a response belongs to the attempt, or an error with a
 	// verdict.
 	CheckResponse func(resp *http.Response, a *carrier.Attempt) error
+	// ReadState reads what the target says of itself in the headers of a response.
+	ReadState func(h http.Header) TargetState
+}
+
+// TargetState is what a target says of itself in a response.
+type TargetState struct {
+	// Limit is the number of requests per second that the target takes, or 0 if it names
+	// none.
+	Limit float64
 }
 
 // Deliverer forwards attempts to the target.
@@ -44,7 +53,10 @@
 	BeforeForward func(a *carrier.Attempt) (connected func(), done func(r Result, connectionFailed bool), err error)
 	// OnResult is called when an attempt that got a slot has ended, and OnRejected
 	// when an attempt was rejected before it got one.
-	OnResult   func(a *carrier.Attempt, r Result)
+	OnResult func(a *carrier.Attempt, r Result)
+	// OnLimit is called when the limit that the target names has changed, in requests per
+	// second, or 0 if it names none any more.
+	OnLimit    func(a *carrier.Attempt, perSecond float64)
 	OnRejected func(a *carrier.Attempt, f *carrier.Failure)
 }
 
@@ -215,10 +227,25 @@
 	return r.WithContext(ctx)
 }
 
+// readState applies the state that a response states. A refusal that names no limit does
+// not end one.
+func (d *Deliverer) readState(h http.Header, a *carrier.Attempt, refused error) {
+	state := d.Codec.ReadState(h)
+	if refused == nil || state.Limit > 0 {
+		if d.Gate.SetLimit(a.Instance, state.Limit) {
+			d.OnLimit(a, state.Limit)
+		}
+	}
+}
+
 // readResponse reads and checks the complete response.
 func (d *Deliverer) readResponse(resp *http.Response, a *carrier.Attempt) (*carrier.TargetResponse, error) {
 	defer func() { _ = resp.Body.Close() }()
-	if err := d.Codec.CheckResponse(resp, a); err != nil {
+	err := d.Codec.CheckResponse(resp, a)
+	if err == nil || classifier.VerdictOf(err) == classifier.NotRun {
+		d.readState(resp.Header, a, err)
+	}
+	if err != nil {
 		return nil, err
 	}
 	body, release, err := d.Memory.ReadBody(resp)
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -65,6 +65,7 @@
 		},
 		OnResult:   func(_ *carrier.Attempt, result deliverer.Result) { r.results = append(r.results, result) },
 		OnRejected: func(*carrier.Attempt, *carrier.Failure) {},
+		OnLimit:    func(*carrier.Attempt, float64) {},
 	}
 	return r
 }
@@ -118,6 +119,42 @@
 	_ = conn.Close()
 }
 
+// TestTargetWithLimitIsNotOverloaded guards against requests beyond the rate that the target names.
+func TestTargetWithLimitIsNotOverloaded(t *testing.T) {
+	for name, refusal := range map[string]string{"in a response": "", "in a refusal": "X-Not-Executed: 1\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			const limit = 4
+			var limited atomic.Bool
+			limited.Store(true)
+			r := newHarness(t, func(conn net.Conn, r *http.Request, _ int32) bool {
+				headers := "Content-Length: 0\r\n"
+				if limited.Load() {
+					headers += refusal + "Server-Limit: 4.0\r\n"
+				}
+				_, _ = io.WriteString(conn, responseHead(r, "200 OK", headers))
+				return true
+			})
+			for range 3 * limit {
+				_, _ = r.deliver("id-1")
+			}
+			if n := r.requests.Load(); n > limit {
+				t.Errorf("%d requests reached a target that takes %d a second, want at most that", n, limit)
+			}
+			_, err := r.deliver("id-1")
+			if f := carrier.NewFailure(err); err == nil || f.Verdict != classifier.NotRun || f.Load.ReopenAfter <= 0 || f.RetryAfter <= 0 {
+				t.Errorf("failure beyond the limit: %+v, want one with verdict NotRun and the time of the next request", err)
+			}
+			limited.Store(false)
+			time.Sleep(carrier.NewFailure(err).RetryAfter)
+			for i := range 3 * limit {
+				if _, err := r.deliver("id-1"); err != nil {
+					t.Fatalf("request %d after the limit has ended: %v", i, err)
+				}
+			}
+		})
+	}
+}
+
 func TestResponses(t *testing.T) {
 	for name, test := range map[string]struct {
 		respond func(conn net.Conn, r *http.Request)
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -113,6 +113,12 @@
 		"status", r.Status, "took", r.Duration, "cut", r.Aborted, "timedout", r.TimedOut, "err", r.Err)
 }
 
+// observeLimit counts and logs a change of the limit that the local target names.
+func (d *Daemon) observeLimit(a *carrier.Attempt, perSecond float64) {
+	d.incrementCounter("target.limits")
+	d.log.Info("target names another limit", "instance", a.Instance, "persecond", perSecond, "request", a.ID)
+}
+
 // observeRejectedAttempt counts and logs an attempt that was rejected here before
 // it reached the target.
 func (d *Daemon) observeRejectedAttempt(a *carrier.Attempt, f *carrier.Failure) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -346,6 +346,7 @@
 		BeforeForward: d.checkQuarantine,
 		OnResult:      d.observeAttempt,
 		OnRejected:    d.observeRejectedAttempt,
+		OnLimit:       d.observeLimit,
 	}
 	d.attemptServer = &carrier.Server{
 		Key:     d.settings.Key,
