sidecar: drain a target that says in a response that it leaves

Cause: only the target's reports made its daemon drain it. A target that said in its responses that it leaves and still announced itself as ready kept getting requests.

Change: such a response counts as a leave report of the process that gave it.

Evidence: TestTargetThatSaysItLeavesGetsNoRequests failed with the header ignored: the target served on.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -34,6 +34,8 @@
 	// Limit is the number of requests per second that the target takes, or 0 if it names
 	// none.
 	Limit float64
+	// Leaving means that the target shuts down.
+	Leaving bool
 }
 
 // Deliverer forwards attempts to the target.
@@ -56,7 +58,9 @@
 	OnResult func(a *carrier.Attempt, r Result)
 	// OnLimit is called when the limit that the target names has changed, in requests per
 	// second, or 0 if it names none any more.
-	OnLimit    func(a *carrier.Attempt, perSecond float64)
+	OnLimit func(a *carrier.Attempt, perSecond float64)
+	// OnLeaving is called with each response that says that the target shuts down.
+	OnLeaving  func(a *carrier.Attempt)
 	OnRejected func(a *carrier.Attempt, f *carrier.Failure)
 }
 
@@ -231,6 +235,9 @@
 // not end one.
 func (d *Deliverer) readState(h http.Header, a *carrier.Attempt, refused error) {
 	state := d.Codec.ReadState(h)
+	if state.Leaving {
+		d.OnLeaving(a)
+	}
 	if refused == nil || state.Limit > 0 {
 		if d.Gate.SetLimit(a.Instance, state.Limit) {
 			d.OnLimit(a, state.Limit)
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -66,6 +66,7 @@
 		OnResult:   func(_ *carrier.Attempt, result deliverer.Result) { r.results = append(r.results, result) },
 		OnRejected: func(*carrier.Attempt, *carrier.Failure) {},
 		OnLimit:    func(*carrier.Attempt, float64) {},
+		OnLeaving:  func(*carrier.Attempt) {},
 	}
 	return r
 }
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -27,6 +27,8 @@
 	Shed bool
 	// LoseAnswer closes the connection in place of a response after the run.
 	LoseAnswer bool
+	// SayLeaving says in each response that the target leaves. Its reports do not.
+	SayLeaving bool
 	// WrongAttemptID sets a wrong attempt ID in the response.
 	WrongAttemptID bool
 	// OmitLength sends the response without a Content-Length header.
@@ -265,6 +267,9 @@
 		h.Set("X-Attempt-Id", "another")
 	}
 	h.Set("X-Server-Stamp", "stamp-"+b.instance)
+	if f.SayLeaving {
+		h.Set("Server-Leaving", "1")
+	}
 	if f.Endless != "" {
 		end() // as for other responses, the slot is free once the request has run
 		b.sendEndless(w, r, f.Endless)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -347,6 +347,7 @@
 		OnResult:      d.observeAttempt,
 		OnRejected:    d.observeRejectedAttempt,
 		OnLimit:       d.observeLimit,
+		OnLeaving:     d.handleLeavingResponse,
 	}
 	d.attemptServer = &carrier.Server{
 		Key:     d.settings.Key,
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -403,6 +403,27 @@
 // TestLeaveReportBeforeFirstAnnouncement guards against requests to a target that is
 // leaving. A restarted daemon receives the target's leave report before an announcement
 // that was sent earlier. A new process of the same name must get requests again.
+// TestTargetThatSaysItLeavesGetsNoRequests guards against requests to a target that says in its
+// responses that it leaves, but still announces itself as ready.
+func TestTargetThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	m := newMesh(t)
+	a := m.addNode("zilina", "renewal", "v1")
+	b := m.addNode("zilina", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	m.waitFor("both targets serve", func() bool { return a.servedOnlyBy("/s/", a.backend.Instance(), b.backend.Instance()) })
+	b.backend.SetFaults(emulator.BackendFaults{SayLeaving: true})
+	m.waitFor("the other target serves alone", func() bool { return a.servedOnlyBy("/s/", a.backend.Instance()) })
+	before := len(b.backend.Arrivals())
+	time.Sleep(5 * heartbeat)
+	if !a.servedOnlyBy("/s/", a.backend.Instance()) || !b.servedOnlyBy("/s/", a.backend.Instance()) {
+		t.Error("the leaving target serves requests again after its announcements")
+	}
+	if n := len(b.backend.Arrivals()) - before; n > 0 {
+		t.Errorf("%d requests reached the target after it had said that it leaves, want 0", n)
+	}
+}
+
 func TestLeaveReportBeforeFirstAnnouncement(t *testing.T) {
 	m := newMesh(t)
 	a := m.addNode("zilina", "renewal", "v1")
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 )
 
@@ -114,6 +115,24 @@
 	d.applyTarget(d.lastAnnouncement.Announcement)
 }
 
+// handleLeavingResponse handles a response of the target which says that it shuts down.
+// That holds like a leave report: the process gets no further requests, whatever it
+// announces.
+func (d *Daemon) handleLeavingResponse(a *carrier.Attempt) {
+	d.announcementMu.Lock()
+	defer d.announcementMu.Unlock()
+	last := d.lastAnnouncement
+	process := targetProcess{
+		instance:  last.Instance,
+		startTime: last.StartTime,
+	}
+	if last.Instance != a.Instance || d.endedProcesses[process] {
+		return
+	}
+	d.log.Info("target says in a response that it leaves", "instance", a.Instance, "request", a.ID)
+	d.handleLeave(Announcement{Instance: a.Instance, Leaving: true}, last)
+}
+
 // applyTarget passes an announcement to the admission gate and to the members.
 func (d *Daemon) applyTarget(a Announcement) {
 	d.gate.SetTarget(admitter.Target{
