--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -403,6 +403,44 @@
 // TestLeaveReportBeforeFirstAnnouncement guards against requests to a target that is
 // leaving. A restarted daemon receives the target's leave report before an announcement
 // that was sent earlier. A new process of the same name must get requests again.
+// TestOddEntriesAreSkipped guards against entries and reports of other writers that end a daemon or
+// keep it from following the records.
+func TestOddEntriesAreSkipped(t *testing.T) {
+	nested := strings.Repeat("[", 200_000)
+	odd := []string{nested, "{\"a\":" + nested, "127.0.0.1:99999999", "127.0.0.1:-1", "1e400", "{\"slots\":1e400}", "\x00\xff", ""}
+	m := newMesh(t)
+	for i, value := range odd {
+		m.records.Put(fmt.Sprintf("coltsfootlane/daemons/odd-%d", i), []byte(value))
+		m.records.Put(fmt.Sprintf("status/rollout/odd-%d", i), []byte(value))
+		m.records.Put(fmt.Sprintf("op/rollout/odd-%d", i), []byte(value))
+	}
+	a := m.addNode("zilina", "renewal", "v1")
+	m.addNode("martin", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	for _, body := range odd {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPut, "http://"+a.settings.Listen.Operator+basePath+"instances/odd", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultTransport.RoundTrip(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("report %.20q: status %d, want 400", body, resp.StatusCode)
+		}
+	}
+	m.writePlan(2, safeRule)
+	for _, n := range m.nodes {
+		m.waitFor("the next plan at "+n.settings.Name, func() bool { return n.gauge("plan.version") == 2 })
+		if got := n.sendRequest("GET", "/s/", "id", ""); got.status != http.StatusOK {
+			t.Errorf("%s: status %d, want 200", n.settings.Name, got.status)
+		}
+	}
+}
+
 // TestTargetThatSaysItLeavesGetsNoRequests guards against requests to a target that says in its
 // responses that it leaves, but still announces itself as ready.
 func TestTargetThatSaysItLeavesGetsNoRequests(t *testing.T) {
