Tests of a response head that breaks off, from the target and from another daemon

Reported by other operators: a target that stopped in the middle of its head left clients with a 200 with an empty body. Here every cut of a head, from the target or between daemons, is a failure that may have run: both tests pass on the code before this commit. A client's response begins when the target's is complete.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -1,7 +1,9 @@
 package carrier_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -286,6 +288,43 @@
 	}
 }
 
+// TestHeadThatBreaksOffIsNoResponse guards against a part of a head from another daemon that is
+// taken for a response.
+func TestHeadThatBreaksOffIsNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Own: value\r\nColtsfoot-Status: 200\r\n\r\n"
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	cuts := make(chan int, 1)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(conn, head[:<-cuts])
+			}
+			_ = conn.Close()
+		}
+	}()
+	for cut := range len(head) + 1 {
+		cuts <- cut
+		resp, err := newClient().Send(t.Context(), ln.Addr().String(), attempt(matcher.NonIdempotent, "pay"))
+		switch {
+		case cut == len(head) && err != nil:
+			t.Errorf("whole head: error %v, want none", err)
+		case cut < len(head) && (err == nil || classifier.VerdictOf(err) == classifier.NotRun):
+			t.Errorf("head cut after %d of %d bytes: response %+v, error %v, want a failure that may have run", cut, len(head), resp, err)
+		}
+	}
+}
+
 // TestCancel checks that the delivery is cancelled when the sender cancels.
 func TestCancel(t *testing.T) {
 	for name, acknowledged := range map[string]bool{"acknowledged": true, "not acknowledged": false} {
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -156,6 +156,23 @@
 	}
 }
 
+// TestHeadThatBreaksOffIsNoResponse guards against a part of a head that is taken for a response.
+func TestHeadThatBreaksOffIsNoResponse(t *testing.T) {
+	cut := 0
+	r := newHarness(t, func(conn net.Conn, r *http.Request, _ int32) bool {
+		_, _ = io.WriteString(conn, responseHead(r, "200 OK", "Content-Length: 0\r\n")[:cut])
+		return false
+	})
+	whole := len(responseHead(&http.Request{Header: http.Header{"X-Attempt-Id": {"id-1"}}}, "200 OK", "Content-Length: 0\r\n"))
+	for cut = range whole {
+		resp, err := r.deliver("id-1")
+		if err == nil || classifier.VerdictOf(err) == classifier.NotRun {
+			t.Errorf("head cut after %d of %d bytes: response %+v, error %v, want a failure that may have run", cut, whole, resp, err)
+		}
+		r.Gate.SetTarget(admitter.Target{Instance: "i-1", Slots: 4, ColdRate: 1000})
+	}
+}
+
 func TestResponses(t *testing.T) {
 	for name, test := range map[string]struct {
 		respond func(conn net.Conn, r *http.Request)
