shifter: one slow target does not make a version slow

Cause: a target that is slow by itself can give most of the slow responses of all targets together.

Change: the slow responses of the target that gives most of them don't count towards the sum; that target is still judged by itself.

--- a/internal/shifter/results.go
+++ b/internal/shifter/results.go
@@ -5,7 +5,9 @@
 // restarted stay counted. The zero value has no counts.
 type Results struct {
 	lastReports map[string]Totals
-	total       Totals
+	// byDaemon holds the counts of each daemon, those before its restarts included.
+	byDaemon map[string]Totals
+	total    Totals
 }
 
 // Add counts what a daemon reports.
@@ -15,12 +17,28 @@
 		// The daemon has restarted.
 		last = Totals{}
 	}
-	c.total = c.total.plus(report.minus(last))
 	if c.lastReports == nil {
 		c.lastReports = map[string]Totals{}
+		c.byDaemon = map[string]Totals{}
 	}
+	added := report.minus(last)
+	c.total = c.total.plus(added)
+	c.byDaemon[daemon] = c.byDaemon[daemon].plus(added)
 	c.lastReports[daemon] = report
 }
 
 // Total returns all counts.
 func (c *Results) Total() Totals { return c.total }
+
+// Bad reports whether the version's failures or slow responses exceed their thresholds.
+// baselineFailureRate is the old version's failure rate, 0 to 1. The slow responses of the
+// daemon that reports most of them do not count, as its target may be slow by itself.
+func (c *Results) Bad(baselineFailureRate float64) bool {
+	var slowest Totals
+	for _, t := range c.byDaemon {
+		if t.Slow > slowest.Slow {
+			slowest = t
+		}
+	}
+	return c.total.failsTooOften(baselineFailureRate) || c.total.minus(slowest).slowTooOften()
+}
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -111,9 +111,9 @@
 	return now.Sub(published) >= countsPeriod && s.trial.NeedsCalls(*s.rollout, now, s.results.Calls)
 }
 
-// resultsOf returns the results of all targets of a rollout's version together, those of
-// daemons that are gone included. The caller holds stateMu.
-func (d *Daemon) resultsOf(r shifter.Rollout, members []prober.Member) shifter.Totals {
+// resultsOf returns the results of all targets of a rollout's version, those of daemons that
+// are gone included. The caller holds stateMu.
+func (d *Daemon) resultsOf(r shifter.Rollout, members []prober.Member) *shifter.Results {
 	results := d.results[r.Revision]
 	if results == nil {
 		results = &shifter.Results{}
@@ -124,7 +124,7 @@
 			results.Add(m.ID, totalsOf(*m.Target))
 		}
 	}
-	return results.Total()
+	return results
 }
 
 // countsFor reports whether the counts of a target are those of a rollout. Daemons of older
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -273,14 +273,15 @@
 		}
 	}
 	if s.rollout != nil {
-		s.results = d.resultsOf(*s.rollout, all)
+		results := d.resultsOf(*s.rollout, all)
+		s.results = results.Total()
 		s.trial = d.trials[s.rollout.Revision].With(*s.rollout, d.clock.Now(), len(s.canaries) > 0, s.results.Calls)
 		d.trials[s.rollout.Revision] = s.trial
-	}
-	if s.rollout != nil && !s.completed && !s.withdrawn && s.results.Bad(d.chooser.FaultRate(s.targets)) {
-		s.withdrawn = true
-		d.log.Warn("version found bad by the results of all its targets", "service", service, "version", s.rollout.Version)
-		go d.withdraw(*s.rollout)
+		if !s.completed && !s.withdrawn && results.Bad(d.chooser.FaultRate(s.targets)) {
+			s.withdrawn = true
+			d.log.Warn("version found bad by the results of all its targets", "service", service, "version", s.rollout.Version)
+			go d.withdraw(*s.rollout)
+		}
 	}
 	if s.withdrawn {
 		s.canaries = nil
