admitter: compare huge rates without converting them to integers

A limit like 1e300 was converted to an integer, which overflows to a negative number on x86-64, and an index with it would end the daemon; on arm64 it saturates. Found by reading, not seen: TestHugeLimitIsNoBound passes on arm64 before as well. The rate is compared as a float first, so that only numbers up to the length of a slice are converted.

--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -178,6 +179,19 @@
 	}
 }
 
+// TestHugeLimitIsNoBound guards against a limit that does not fit into an integer.
+func TestHugeLimitIsNoBound(t *testing.T) {
+	manySlots := target()
+	manySlots.Slots = 100
+	r := newHarness(manySlots)
+	r.SetLimit(manySlots.Instance, math.MaxFloat64)
+	for range 50 {
+		if err := r.acquire(r.newRequest()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestSuspectedColdTarget checks that the cold rate applies to a target that may
 // have restarted, and that requests admitted earlier count against it.
 func TestSuspectedColdTarget(t *testing.T) {
--- a/internal/admitter/rate.go
+++ b/internal/admitter/rate.go
@@ -42,13 +42,10 @@
 // no bound.
 func (g *Gate) rateWait(now time.Time) time.Duration {
 	rate := g.rate(now)
-	if rate == 0 {
+	if rate == 0 || float64(len(g.admittedAt)) < rate {
 		return 0
 	}
 	allowed := int(math.Ceil(rate))
-	if len(g.admittedAt) < allowed {
-		return 0
-	}
 	window := rateDuration(allowed, rate)
 	return max(0, g.admittedAt[len(g.admittedAt)-allowed].Add(window).Sub(now))
 }
