sidecar: publish slow responses at intervals

A version of which less than 15% of the responses are slow is not bad, but each of them was sent to up to 128 members at once: with 1,000 requests a second and one in ten slow, 12,800 calls a second. Counts that differ by slow responses only are sent once every 100 ms: TestSlowResponsesArePublishedAtIntervals.

--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -31,6 +31,8 @@
 	// countsPeriod is the minimum interval between publications of counts that have
 	// not doubled.
 	countsPeriod = 500 * time.Millisecond
+	// slowCountsPeriod is that of counts that differ by slow responses only.
+	slowCountsPeriod = 100 * time.Millisecond
 )
 
 // judgeAttempt counts the result of an attempt at the local target during a
@@ -67,9 +69,10 @@
 	go d.withdraw(*s.rollout)
 }
 
-// publishCounts sends the local target's counts to the other members: after each failure
-// and each slow response, whenever the number of calls has doubled, and once every
-// countsPeriod while the completion of the rollout depends on them.
+// publishCounts sends the local target's counts to the other members: after each failure,
+// whenever the number of calls has doubled, once every slowCountsPeriod if there are more
+// slow responses, and once every countsPeriod while the completion of the rollout depends
+// on them.
 func (d *Daemon) publishCounts(s *serviceView) {
 	r := *s.rollout
 	self := d.members.Self().Target
@@ -81,9 +84,10 @@
 		published = totalsOf(*self)
 	}
 	total := d.judge.Total(r)
-	evidence := total.Failures > published.Failures || total.Slow > published.Slow
+	failed := total.Failures > published.Failures
+	slow := total.Slow > published.Slow && d.sinceCounts() >= slowCountsPeriod
 	doubled := total.Calls >= 2*max(minDoublingBase, published.Calls)
-	if !evidence && !doubled && !d.countsDue(s) {
+	if !failed && !slow && !doubled && !d.countsDue(s) {
 		return
 	}
 	d.countsPublished.Store(d.clock.Now().UnixNano())
@@ -106,9 +110,12 @@
 // countsDue reports whether the completion of the rollout depends on counts that were
 // last published countsPeriod ago.
 func (d *Daemon) countsDue(s *serviceView) bool {
-	now := d.clock.Now()
-	published := time.Unix(0, d.countsPublished.Load())
-	return now.Sub(published) >= countsPeriod && s.trial.NeedsCalls(*s.rollout, now, s.results.Calls)
+	return d.sinceCounts() >= countsPeriod && s.trial.NeedsCalls(*s.rollout, d.clock.Now(), s.results.Calls)
+}
+
+// sinceCounts returns the time since counts were last published.
+func (d *Daemon) sinceCounts() time.Duration {
+	return d.clock.Now().Sub(time.Unix(0, d.countsPublished.Load()))
 }
 
 // resultsOf returns the results of all targets of a rollout's version, those of daemons that
--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -208,6 +208,42 @@
 	}
 }
 
+// TestSlowResponsesArePublishedAtIntervals guards against a call to each member for each response
+// of a version that is often slow.
+func TestSlowResponsesArePublishedAtIntervals(t *testing.T) {
+	const usual = 15 * time.Millisecond
+	d := newRolloutDaemon()
+	d.members.UpdateSelf(func(m prober.Member) prober.Member {
+		return m.WithTarget(&prober.Target{
+			Service:  "renewal",
+			Version:  "v2",
+			Slots:    4,
+			Instance: "zilina-1",
+		})
+	})
+	respond := func(duration time.Duration) int {
+		d.judgeAttempt(&carrier.Attempt{
+			Service:  "renewal",
+			Version:  "v2",
+			Rule:     "lookup",
+			Baseline: usual,
+		}, deliverer.Result{
+			Status:   http.StatusOK,
+			Duration: duration,
+		})
+		return d.members.Self().Target.Slow
+	}
+	for i, want := range []int{1, 1, 1} {
+		if got := respond(8 * usual); got != want {
+			t.Errorf("%d slow responses published after %d at once, want %d", got, i+1, want)
+		}
+	}
+	d.clock.Advance(slowCountsPeriod)
+	if got := respond(usual); got != 3 {
+		t.Errorf("%d slow responses published after the interval, want 3", got)
+	}
+}
+
 // TestEarlierRolloutDoesNotCount guards against results of a version's earlier rollout.
 func TestEarlierRolloutDoesNotCount(t *testing.T) {
 	d := newRolloutDaemon()
