--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -4,9 +4,8 @@
 // limits therefore hold regardless of the state of other daemons: at most Slots
 // requests at once, at most ColdRate requests per second while the target is cold
 // (warming up), no more per second than the target names, and none while it is shutting
-// down. Requests queue in the order
-// of their priority. A request that is not expected to get its response in time is
-// rejected at once.
+// down. Requests queue in the order of their priority. A request that is not expected to
+// get its response in time is rejected at once.
 package admitter
 
 import (
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -92,9 +92,8 @@
 	g.setTimer(now)
 }
 
-// setTimer schedules the next CheckQueue: when a cold target can take the next
-// request, when a waiter has too little time left, or after queueCheckPeriod, whichever
-// is first.
+// setTimer schedules the next CheckQueue: when the target's rate allows the next request,
+// when a waiter has too little time left, or after queueCheckPeriod, whichever is first.
 func (g *Gate) setTimer(now time.Time) {
 	if len(g.queue) == 0 {
 		return
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -55,13 +55,13 @@
 	BeforeForward func(a *carrier.Attempt) (connected func(), done func(r Result, connectionFailed bool), err error)
 	// OnResult is called when an attempt that got a slot has ended, and OnRejected
 	// when an attempt was rejected before it got one.
-	OnResult func(a *carrier.Attempt, r Result)
+	OnResult   func(a *carrier.Attempt, r Result)
+	OnRejected func(a *carrier.Attempt, f *carrier.Failure)
 	// OnLimit is called when the limit that the target names has changed, in requests per
 	// second, or 0 if it names none any more.
 	OnLimit func(a *carrier.Attempt, perSecond float64)
 	// OnLeaving is called with each response that says that the target shuts down.
-	OnLeaving  func(a *carrier.Attempt)
-	OnRejected func(a *carrier.Attempt, f *carrier.Failure)
+	OnLeaving func(a *carrier.Attempt)
 }
 
 // Result is the result of an attempt that got a slot.
@@ -231,17 +231,18 @@
 	return r.WithContext(ctx)
 }
 
-// readState applies the state that a response states. A refusal that names no limit does
-// not end one.
-func (d *Deliverer) readState(h http.Header, a *carrier.Attempt, refused error) {
+// applyState applies what the target says of itself in a response. A refusal that names no
+// limit does not end one.
+func (d *Deliverer) applyState(h http.Header, a *carrier.Attempt, refused error) {
 	state := d.Codec.ReadState(h)
 	if state.Leaving {
 		d.OnLeaving(a)
 	}
-	if refused == nil || state.Limit > 0 {
-		if d.Gate.SetLimit(a.Instance, state.Limit) {
-			d.OnLimit(a, state.Limit)
-		}
+	if refused != nil && state.Limit == 0 {
+		return
+	}
+	if d.Gate.SetLimit(a.Instance, state.Limit) {
+		d.OnLimit(a, state.Limit)
 	}
 }
 
@@ -250,7 +251,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	err := d.Codec.CheckResponse(resp, a)
 	if err == nil || classifier.VerdictOf(err) == classifier.NotRun {
-		d.readState(resp.Header, a, err)
+		d.applyState(resp.Header, a, err)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -178,7 +178,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, peerPollPeriod)
 		for _, f := range d.followers() {
-			if d.watching() && !(d.dependencyReached("store "+f.Prefix) && d.dependencyReached("store registration")) {
+			if d.watching() && (!d.dependencyReached("store "+f.Prefix) || !d.dependencyReached("store registration")) {
 				d.fetchFromPeer(ctx, f)
 			}
 		}
