Comments: rate limit, baseline and relay updates in the usual terms

TestHeadThatBreaksOffIsNoResponse became TestTruncatedHeadIsNoResponse in both packages, with the same assertions.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -101,8 +101,8 @@
 	// the target may have restarted since its last announcement.
 	coldUntil     time.Time
 	coldSuspected bool
-	// limit is the number of requests per second that the target takes, or 0 if it
-	// has named none.
+	// limit is the target's rate limit in requests per second, or 0 if there is
+	// none.
 	limit       float64
 	running     int
 	queue       []*waiter
@@ -291,8 +291,8 @@
 	return g.running < g.target.Slots && g.rateWait(now) == 0
 }
 
-// admit counts a request as running. It also records the time while there is no bound
-// on the rate, because there may be one later.
+// admit counts a request as running. It also records the time while the rate is
+// unlimited, because a limit may be set later.
 func (g *Gate) admit(now time.Time) {
 	g.running++
 	g.breaker.admitted()
--- a/internal/admitter/rate.go
+++ b/internal/admitter/rate.go
@@ -10,11 +10,11 @@
 // the limit.
 const minLimit = 0.25
 
-// maxRateWindow is the longest window in which requests are counted.
+// maxRateWindow is the longest sliding window of a rate limit: one request at minLimit.
 const maxRateWindow = time.Duration(float64(time.Second) / minLimit)
 
-// SetLimit sets the number of requests per second that an instance takes, or 0 if it names
-// none. It reports whether that has changed.
+// SetLimit sets the rate limit of an instance in requests per second, or removes it if
+// perSecond is 0. It reports whether the limit has changed.
 func (g *Gate) SetLimit(instance string, perSecond float64) (changed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -29,8 +29,8 @@
 	return true
 }
 
-// rate returns the number of requests per second that the target can take: its limit or,
-// while it is cold, the cold rate if that is lower. It returns 0 if there is no bound.
+// rate returns the rate limit in force, in requests per second: that of the target or,
+// while it is cold, the cold rate if that is lower. It returns 0 if there is none.
 func (g *Gate) rate(now time.Time) float64 {
 	if g.cold(now) && (g.limit == 0 || g.coldRate() < g.limit) {
 		return g.coldRate()
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -36,9 +36,9 @@
 	// MaxWait is the queue timeout: how long the attempt may wait for a slot at the
 	// target's VM.
 	MaxWait time.Duration
-	// Baseline is the mean service time of the rule's requests at the targets of the
-	// version that a canary is compared with, or 0 if the sender does not know it or the
-	// target is no canary.
+	// Baseline is the mean service time of the rule's requests at the old version during a
+	// rollout, with which a response of the new version is compared. It is 0 if the sender
+	// does not know it or the target runs the old version.
 	Baseline time.Duration
 	// MayGiveUp is called before the attempt is cancelled because the daemon has not
 	// responded, with the verdict of its failure. The attempt goes on if it returns
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -288,9 +288,9 @@
 	}
 }
 
-// TestHeadThatBreaksOffIsNoResponse guards against a part of a head from another daemon that is
+// TestTruncatedHeadIsNoResponse guards against a part of a head from another daemon that is
 // taken for a response.
-func TestHeadThatBreaksOffIsNoResponse(t *testing.T) {
+func TestTruncatedHeadIsNoResponse(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Own: value\r\nColtsfoot-Status: 200\r\n\r\n"
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -234,7 +234,7 @@
 }
 
 // ServiceTimeAt returns the mean service time of the requests of a rule at some targets,
-// each counted by its last report, or 0 if none has reported.
+// the average of the targets' last reports, or 0 if none has reported.
 func (c *Chooser) ServiceTimeAt(rule string, targets []Target) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -25,13 +25,13 @@
 	// CheckResponse returns nil if a response belongs to the attempt, or an error with a
 	// verdict.
 	CheckResponse func(resp *http.Response, a *carrier.Attempt) error
-	// ReadState reads what the target says of itself in the headers of a response.
+	// ReadState reads the state that the target reports in the headers of a response.
 	ReadState func(h http.Header) TargetState
 }
 
-// TargetState is what a target says of itself in a response.
+// TargetState is the state that a target reports in the headers of a response.
 type TargetState struct {
-	// Limit is the number of requests per second that the target takes, or 0 if it names
+	// Limit is the target's rate limit in requests per second, or 0 if the response has
 	// none.
 	Limit float64
 	// Leaving means that the target shuts down.
@@ -57,8 +57,8 @@
 	// when an attempt was rejected before it got one.
 	OnResult   func(a *carrier.Attempt, r Result)
 	OnRejected func(a *carrier.Attempt, f *carrier.Failure)
-	// OnLimit is called when the limit that the target names has changed, in requests per
-	// second, or 0 if it names none any more.
+	// OnLimit is called with the target's new rate limit in requests per second, or 0 if
+	// it was removed.
 	OnLimit func(a *carrier.Attempt, perSecond float64)
 	// OnLeaving is called with each response that says that the target shuts down.
 	OnLeaving func(a *carrier.Attempt)
@@ -231,8 +231,8 @@
 	return r.WithContext(ctx)
 }
 
-// applyState applies what the target says of itself in a response. A refusal that names no
-// limit does not end one.
+// applyState applies the rate limit and the shutdown notice in the headers of a response. A
+// rejection without a limit does not remove the current one.
 func (d *Deliverer) applyState(h http.Header, a *carrier.Attempt, refused error) {
 	state := d.Codec.ReadState(h)
 	if state.Leaving {
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -156,8 +156,8 @@
 	}
 }
 
-// TestHeadThatBreaksOffIsNoResponse guards against a part of a head that is taken for a response.
-func TestHeadThatBreaksOffIsNoResponse(t *testing.T) {
+// TestTruncatedHeadIsNoResponse guards against a part of a head that is taken for a response.
+func TestTruncatedHeadIsNoResponse(t *testing.T) {
 	cut := 0
 	r := newHarness(t, func(conn net.Conn, r *http.Request, _ int32) bool {
 		_, _ = io.WriteString(conn, responseHead(r, "200 OK", "Content-Length: 0\r\n")[:cut])
--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -82,7 +82,7 @@
 	// Calls counts the target's responses during the rollout of its version whose
 	// record has the revision Rollout. Failures counts the failed ones among them, Timed
 	// those whose duration was judged and Slow the slow ones among those. They are
-	// announced with each failure and, at intervals, slow responses.
+	// published after each failure and, at intervals, after slow responses.
 	Calls    int    `json:"calls,omitempty"`
 	Failures int    `json:"faults,omitempty"`
 	Timed    int    `json:"timed,omitempty"`
--- a/internal/sidecar/registration.go
+++ b/internal/sidecar/registration.go
@@ -18,9 +18,9 @@
 // Intervals of the daemon's registration in the store and of looking up its peers.
 const (
 	// leaseTTL is the time to live of the daemon's key in the store. A daemon that
-	// watches the store renews its lease every watcherRenewPeriod, to notice within that
-	// time and the timeout of a call that the store no longer answers. The other
-	// daemons renew every otherRenewPeriod. When a relay's update shows
+	// watches the store renews its lease every watcherRenewPeriod, so that it detects an
+	// unresponsive store within that period plus one call timeout. The other daemons
+	// renew every otherRenewPeriod. When a relay's update shows
 	// that the store is reachable again, they renew after a random delay of up to
 	// renewJitter. So all keys are written again within two seconds.
 	leaseTTL           = 20 * time.Second
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -162,8 +162,8 @@
 	// joined is set after the first successful lookup of the other daemons, also if
 	// it found none.
 	joined atomic.Bool
-	// relayUpdates holds the time of the last update of each relay that reaches the
-	// store, by its name. relayUpdatesMu guards it. relayUpdateDue receives a value when a
+	// relayUpdates holds, by relay, the time of its last update if that said that the
+	// relay can reach the store. relayUpdatesMu guards it. relayUpdateDue receives a value when a
 	// relay has to send an update.
 	relayUpdatesMu sync.Mutex
 	relayUpdates   map[string]time.Time
