--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -400,9 +400,6 @@
 	_ = a // a's target serves the requests while b's drains
 }
 
-// TestLeaveReportBeforeFirstAnnouncement guards against requests to a target that is
-// leaving. A restarted daemon receives the target's leave report before an announcement
-// that was sent earlier. A new process of the same name must get requests again.
 // TestOddEntriesAreSkipped guards against entries and reports of other writers that end a daemon or
 // keep it from following the records.
 func TestOddEntriesAreSkipped(t *testing.T) {
@@ -462,6 +459,9 @@
 	}
 }
 
+// TestLeaveReportBeforeFirstAnnouncement guards against requests to a target that is
+// leaving. A restarted daemon receives the target's leave report before an announcement
+// that was sent earlier. A new process of the same name must get requests again.
 func TestLeaveReportBeforeFirstAnnouncement(t *testing.T) {
 	m := newMesh(t)
 	a := m.addNode("zilina", "renewal", "v1")
