sidecar: make the target say that it leaves before the test counts

The test was wrong: a daemon prefers its own target, so that all of the 60 requests of the check "the other target serves alone" could go there before the second target had sent any response, hence before it had said anything. The next check's requests then included the first one that it got.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -447,15 +447,19 @@
 	m.writePlan(1, safeRule)
 	m.waitForMembers()
 	m.waitFor("both targets serve", func() bool { return a.servedOnlyBy("/s/", a.backend.Instance(), b.backend.Instance()) })
+	before := len(b.backend.Arrivals())
 	b.backend.SetFaults(emulator.BackendFaults{SayLeaving: true})
+	m.waitFor("a response that says that the target leaves", func() bool {
+		a.sendRequest("GET", "/s/", "id", "")
+		return len(b.backend.Arrivals()) > before
+	})
 	m.waitFor("the other target serves alone", func() bool { return a.servedOnlyBy("/s/", a.backend.Instance()) })
-	before := len(b.backend.Arrivals())
 	time.Sleep(5 * heartbeat)
 	if !a.servedOnlyBy("/s/", a.backend.Instance()) || !b.servedOnlyBy("/s/", a.backend.Instance()) {
 		t.Error("the leaving target serves requests again after its announcements")
 	}
-	if n := len(b.backend.Arrivals()) - before; n > 0 {
-		t.Errorf("%d requests reached the target after it had said that it leaves, want 0", n)
+	if n := len(b.backend.Arrivals()) - before; n != 1 {
+		t.Errorf("%d requests reached the target since it says that it leaves, want 1", n)
 	}
 }
 
