deliverer: close a connection that got the response to another request

A target that writes a response twice on a kept connection, the second copy late, made each further request on that connection fail as "answer of another request (may have run)": its response went to the request after it, and so on without end, since a response without a body leaves the connection in the pool. Callers got 502 for requests that had run, until a pause longer than a request's time let the transport notice the response nobody waits for.

The connection is closed as soon as its response is found invalid. A request that takes it from the pool before the transport has noticed fails before it is written and is sent elsewhere.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -183,8 +184,10 @@
 	defer func() { done(result, result.Err != nil && ctx.Err() == nil && isConnectionError(result.Err)) }()
 	carrier.Acknowledge(ctx)
 	var connected atomic.Bool
+	var conn net.Conn // RoundTrip calls GotConn before it returns
 	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn
 			if !connected.Swap(true) {
 				onConnected()
 			}
@@ -193,6 +196,9 @@
 	resp, err := forwarder.RoundTrip(d.Transport, d.newRequest(tracedCtx, a))
 	if err == nil {
 		targetResponse, err = d.readResponse(resp, a)
+		if err != nil && classifier.VerdictOf(err) != classifier.NotRun && conn != nil {
+			_ = conn.Close() // its next response may belong to this request
+		}
 	}
 	result = Result{
 		Duration: d.Clock.Now().Sub(start),
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -278,6 +278,35 @@
 	}
 }
 
+// TestExtraResponseFailsOneRequest guards against a connection on which each request gets the response to
+// the one before it.
+func TestExtraResponseFailsOneRequest(t *testing.T) {
+	for name, body := range map[string]string{"with a body": "good", "without a body": ""} {
+		t.Run(name, func(t *testing.T) {
+			var extra string
+			r := newHarness(t, func(conn net.Conn, request *http.Request, n int32) bool {
+				text := responseHead(request, "200 OK", fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body
+				switch n {
+				case 1:
+					extra = text
+				case 2:
+					_, _ = io.WriteString(conn, extra)
+				}
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(conn, text)
+				return true
+			})
+			for i := 1; i <= 6; i++ {
+				_, err := r.deliver(fmt.Sprint("id-", i))
+				failed := err != nil && classifier.VerdictOf(err) != classifier.NotRun // others are sent again
+				if failed != (i == 2) {
+					t.Errorf("request %d: error %v", i, err)
+				}
+			}
+		})
+	}
+}
+
 // TestNoResendOnBrokenConnection closes kept-alive connections without notice. A
 // request must reach the target at most once, and a request that has arrived
 // must not get the verdict NotRun.
