sidecar: inform the relays of changes that only other daemons read

While the store answered some daemons of a data centre but neither of its relays, a change spread by polls only: each daemon asks one random other each 400 ms, and waits up to a second for one that is cut off.

A daemon that is no relay, and hears of none that reaches the store, now sends each change to the relays of its data centre. They fetch it and pass it on at once, to all daemons of theirs and to the other relays. Its update never says that the store is reachable, so that no daemon takes it for a relay; older daemons handle it in the same way.

TestRelaysAreInformedWhileTheyDoNotReachStore fails to build without updateReceivers; the old condition in it (only relays send) fails it.

--- a/internal/sidecar/relays.go
+++ b/internal/sidecar/relays.go
@@ -27,8 +27,8 @@
 	otherRetryPause = 2 * time.Second
 )
 
-// relayUpdate is the message by which a relay announces the revisions of its
-// records.
+// relayUpdate is the message by which a daemon, usually a relay, announces the revisions
+// of its records.
 type relayUpdate struct {
 	From    string `json:"from"`
 	Control string `json:"control"`
@@ -100,31 +100,64 @@
 	return d.dependencyReached("store "+d.operatorFollower.Prefix) && d.dependencyReached("store registration")
 }
 
-// runRelay sends updates while the daemon is a relay, until ctx ends: every
-// relayUpdatePeriod, and at once after a change.
+// runRelay sends updates until ctx ends: every relayUpdatePeriod, and at once after a
+// change.
 func (d *Daemon) runRelay(ctx context.Context) {
 	ticker := time.NewTicker(relayUpdatePeriod)
 	defer ticker.Stop()
 	for {
+		changed := false
 		select {
 		case <-ticker.C:
 		case <-d.relayUpdateDue:
+			changed = true
 		case <-ctx.Done():
 			return
 		}
-		if !d.left.Load() && d.isRelay() {
-			d.sendRelayUpdate()
+		if !d.left.Load() {
+			d.sendRelayUpdate(d.updateReceivers(changed))
 		}
 	}
 }
 
-// sendRelayUpdate sends the revisions of the daemon's copies to the daemons of
-// its data centre and to the relays of the other data centres.
-func (d *Daemon) sendRelayUpdate() {
+// updateReceivers returns the daemons to which an update is due. A relay sends its updates
+// to the daemons of its data centre and to the relays of the other data centres. While no
+// relay reaches the store, each other daemon informs the relays of its data centre of
+// changes, which they pass on.
+func (d *Daemon) updateReceivers(changed bool) []prober.Member {
+	fromRelay := d.isRelay()
+	if !fromRelay && (!changed || d.hasRelay()) {
+		return nil
+	}
+	var receivers []prober.Member
+	relays := map[string][]string{}
+	for _, m := range d.members.All() {
+		if m.ID == d.settings.Name || m.Status > prober.Suspect {
+			continue
+		}
+		if _, known := relays[m.DC]; !known {
+			relays[m.DC] = d.relaysOf(m.DC)
+		}
+		sameDC := m.DC == d.settings.DC
+		toRelay := slices.Contains(relays[m.DC], m.ID)
+		if (sameDC && toRelay) || (fromRelay && (sameDC || toRelay)) {
+			receivers = append(receivers, m)
+		}
+	}
+	return receivers
+}
+
+// sendRelayUpdate sends the revisions of the daemon's copies to other daemons. Only an
+// update of a relay says that the store is reachable, since its receivers then rely on
+// further updates.
+func (d *Daemon) sendRelayUpdate(receivers []prober.Member) {
+	if len(receivers) == 0 {
+		return
+	}
 	u := relayUpdate{
 		From:           d.settings.Name,
 		Control:        d.settings.ControlAddress(),
-		StoreReachable: d.storeReachable(),
+		StoreReachable: d.isRelay() && d.storeReachable(),
 		Recoveries:     d.storeRecoveries.Load(),
 		Revisions:      map[string]uint64{},
 	}
@@ -133,17 +166,7 @@
 			u.Revisions[f.Prefix] = c.Revision
 		}
 	}
-	relays := map[string][]string{}
-	for _, m := range d.members.All() {
-		if m.ID == d.settings.Name || m.Status > prober.Suspect {
-			continue
-		}
-		if _, known := relays[m.DC]; !known {
-			relays[m.DC] = d.relaysOf(m.DC)
-		}
-		if m.DC != d.settings.DC && !slices.Contains(relays[m.DC], m.ID) {
-			continue
-		}
+	for _, m := range receivers {
 		go func() {
 			if err := d.client.Call(context.Background(), m.Control, relayUpdateMethod, u, nil); err != nil {
 				d.incrementCounter("news.failed")
--- a/internal/sidecar/relays_test.go
+++ b/internal/sidecar/relays_test.go
@@ -57,3 +57,33 @@
 		t.Errorf("does not watch the store %v after the last update", relayUpdateTTL)
 	}
 }
+
+// TestRelaysAreInformedWhileTheyDoNotReachStore guards against a change that the others get only when they happen to ask
+// the one daemon that reaches the store.
+func TestRelaysAreInformedWhileTheyDoNotReachStore(t *testing.T) {
+	d, relays := newNonRelay(t)
+	d.members.Merge(prober.Member{
+		ID:          "martin-10",
+		DC:          "martin",
+		Incarnation: 1,
+	})
+	receivers := func(changed bool) []string {
+		var ids []string
+		for _, m := range d.updateReceivers(changed) {
+			ids = append(ids, m.ID)
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	slices.Sort(relays)
+	if got := receivers(true); !slices.Equal(got, relays) {
+		t.Errorf("a change is sent to %v, want the relays %v", got, relays)
+	}
+	if got := receivers(false); got != nil {
+		t.Errorf("an update without a change is sent to %v, want none", got)
+	}
+	d.recordRelayUpdate(relays[0], true)
+	if got := receivers(true); got != nil {
+		t.Errorf("a change is sent to %v while a relay reaches the store, want none", got)
+	}
+}
