--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -626,6 +626,26 @@
 	}
 }
 
+// TestGoodVersionOfFailingInternalServiceIsCompleted guards against a version that is rolled back although it fails no
+// more often than the old one, because its daemons send the old one nothing.
+func TestGoodVersionOfFailingInternalServiceIsCompleted(t *testing.T) {
+	m := newMesh(t)
+	caller := m.addNode("zilina", "portal", "v1")
+	baseline := m.addNode("zilina", "renewal", "v1")
+	baseline.backend.SetFaults(emulator.BackendFaults{FailureRate: 0.1})
+	m.writePlan(1, safeRule, rule{Prefix: "/p/", Kind: "safe", Service: "portal"})
+	m.waitForMembers()
+	defer caller.startLoad("/s/")()
+	m.startRollout("renewal", "v2", 6)
+	m.waitFor("the rollout runs", func() bool { return m.rolloutState("renewal") == "running" })
+	canary := m.addNode("martin", "renewal", "v2")
+	canary.backend.SetFaults(emulator.BackendFaults{FailureRate: 0.1})
+	m.waitFor("the rollout ends", func() bool { return m.rolloutState("renewal") != "running" })
+	if state := m.rolloutState("renewal"); state != "completed" {
+		t.Errorf("rollout of a version that fails as often as the old one: %s, want completed", state)
+	}
+}
+
 // TestStoreOutage checks that during a store outage a restarted daemon fetches the
 // configuration from a peer, and that all daemons register again soon after it.
 func TestStoreOutage(t *testing.T) {
