carrier: don't race a silent daemon's response against the time until it is given up

The client gives an attempt up after 400 ms and the test's server answered after 600 ms, so an answer without an error means that the timer's goroutine ran 200 ms late or more: nothing else keeps the client from giving up there (no 1xx response, an idempotent attempt, KeepWaiting false).

The server now never answers the attempt that must be given up, and the error must be that of a silent daemon, not just any: before, that was not looked at.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -244,17 +244,22 @@
 // TestKeepWaiting checks that an attempt to a silent daemon is not cancelled while
 // KeepWaiting returns true, as during a graceful shutdown.
 func TestKeepWaiting(t *testing.T) {
-	address := startServer(t, func(context.Context, *carrier.Attempt) (*carrier.TargetResponse, error) {
-		time.Sleep(600 * time.Millisecond)
-		return &carrier.TargetResponse{Status: 200}, nil
-	})
 	for _, keepWaiting := range []bool{true, false} {
+		address := startServer(t, func(ctx context.Context, _ *carrier.Attempt) (*carrier.TargetResponse, error) {
+			if !keepWaiting {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			time.Sleep(time.Second) // longer than the time until an attempt is cancelled
+			return &carrier.TargetResponse{Status: 200}, nil
+		})
 		c := newClient()
 		c.KeepWaiting = func() bool { return keepWaiting }
 		a := attempt(matcher.Idempotent, "")
-		a.Deadline = time.Now().Add(time.Second)
-		if _, err := c.Send(t.Context(), address, a); (err == nil) != keepWaiting {
-			t.Errorf("KeepWaiting returns %v: error %v, want one only for false", keepWaiting, err)
+		a.Deadline = time.Now().Add(2 * time.Second)
+		_, err := c.Send(t.Context(), address, a)
+		if cancelled := err != nil && strings.Contains(err.Error(), "daemon silent"); cancelled == keepWaiting || (err == nil) != keepWaiting {
+			t.Errorf("KeepWaiting returns %v: error %v, want that of a silent daemon only for false", keepWaiting, err)
 		}
 	}
 }
