Revert "sidecar: compare a new version's failures with the old version's as its callers know it"

A good version that is rolled back costs less than a bad one that goes on, so the change waits for one that does both.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -40,9 +40,6 @@
 	// rollout, with which a response of the new version is compared. It is 0 if the sender
 	// does not know it or the target runs the old version.
 	Baseline time.Duration
-	// BaselineFailureRate is the failure rate of the old version during a rollout, 0 to 1,
-	// as the sender knows it. It is 0 if the target runs the old version.
-	BaselineFailureRate float64
 	// MayGiveUp is called before the attempt is cancelled because the daemon has not
 	// responded, with the verdict of its failure. The attempt goes on if it returns
 	// false. If it is nil, the attempt is cancelled.
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -52,24 +52,23 @@
 // attempt returns an attempt with the given kind and body.
 func attempt(kind matcher.Kind, body string) *carrier.Attempt {
 	return &carrier.Attempt{
-		ID:                  "id-1",
-		Service:             "s",
-		Version:             "v1",
-		Instance:            "i-1",
-		Rule:                "pay",
-		Kind:                kind,
-		Priority:            2,
-		Caller:              "c",
-		Deadline:            time.Now().Add(20 * time.Second),
-		Objective:           time.Now().Add(10 * time.Second),
-		MaxWait:             30 * time.Millisecond,
-		Baseline:            15 * time.Millisecond,
-		BaselineFailureRate: 0.125,
-		Method:              "POST",
-		URI:                 "/pay/%2f?a=b;c&",
-		Host:                "a.example",
-		Header:              http.Header{"X-Own": {"1"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
-		Body:                []byte(body),
+		ID:        "id-1",
+		Service:   "s",
+		Version:   "v1",
+		Instance:  "i-1",
+		Rule:      "pay",
+		Kind:      kind,
+		Priority:  2,
+		Caller:    "c",
+		Deadline:  time.Now().Add(20 * time.Second),
+		Objective: time.Now().Add(10 * time.Second),
+		MaxWait:   30 * time.Millisecond,
+		Baseline:  15 * time.Millisecond,
+		Method:    "POST",
+		URI:       "/pay/%2f?a=b;c&",
+		Host:      "a.example",
+		Header:    http.Header{"X-Own": {"1"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Body:      []byte(body),
 	}
 }
 
@@ -101,7 +100,7 @@
 			t.Errorf("response %+v, want the one that the server returned", resp)
 		}
 		if got.ID != sent.ID || got.URI != sent.URI || got.Host != sent.Host || got.Instance != "i-1" || got.Priority != 2 || got.Kind != matcher.NonIdempotent ||
-			got.Caller != "c" || got.MaxWait != sent.MaxWait || got.Baseline != sent.Baseline || got.BaselineFailureRate != sent.BaselineFailureRate || string(got.Body) != body {
+			got.Caller != "c" || got.MaxWait != sent.MaxWait || got.Baseline != sent.Baseline || string(got.Body) != body {
 			t.Errorf("received attempt %+v, want the one that was sent", got)
 		}
 		if got.Header.Get("X-Own") != "1" || got.Header.Get("X-Hop") != "" || got.Header.Get("Coltsfoot-Key") != "" {
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -14,28 +14,27 @@
 // Headers of attempts and of their responses, in addition to those of package
 // forwarder. Durations are in microseconds.
 const (
-	instanceHeader        = "Coltsfoot-Instance"
-	idHeader              = "Coltsfoot-Id"
-	kindHeader            = "Coltsfoot-Kind"
-	priorityHeader        = "Coltsfoot-Rank"
-	callerHeader          = "Coltsfoot-Caller"
-	queueTimeoutHeader    = "Coltsfoot-Patience"
-	remainingHeader       = "Coltsfoot-Left"
-	objectiveHeader       = "Coltsfoot-Useful"
-	baselineHeader        = "Coltsfoot-Baseline"
-	baselineFailingHeader = "Coltsfoot-Baseline-Failing"
-	runningHeader         = "Coltsfoot-Running"
-	queuedHeader          = "Coltsfoot-Queued"
-	slotsHeader           = "Coltsfoot-Slots"
-	serviceTimeHeader     = "Coltsfoot-Work"
-	failureRateHeader     = "Coltsfoot-Failing"
-	faultRateHeader       = "Coltsfoot-Faulty"
-	reopenAfterHeader     = "Coltsfoot-Reopen"
-	processingTimeHeader  = "Coltsfoot-Spent"
-	reasonHeader          = "Coltsfoot-Reason"
-	arrivedHeader         = "Coltsfoot-Arrived"
-	retryAfterHeader      = "Coltsfoot-Pause"
-	statusHeader          = "Coltsfoot-Status"
+	instanceHeader       = "Coltsfoot-Instance"
+	idHeader             = "Coltsfoot-Id"
+	kindHeader           = "Coltsfoot-Kind"
+	priorityHeader       = "Coltsfoot-Rank"
+	callerHeader         = "Coltsfoot-Caller"
+	queueTimeoutHeader   = "Coltsfoot-Patience"
+	remainingHeader      = "Coltsfoot-Left"
+	objectiveHeader      = "Coltsfoot-Useful"
+	baselineHeader       = "Coltsfoot-Baseline"
+	runningHeader        = "Coltsfoot-Running"
+	queuedHeader         = "Coltsfoot-Queued"
+	slotsHeader          = "Coltsfoot-Slots"
+	serviceTimeHeader    = "Coltsfoot-Work"
+	failureRateHeader    = "Coltsfoot-Failing"
+	faultRateHeader      = "Coltsfoot-Faulty"
+	reopenAfterHeader    = "Coltsfoot-Reopen"
+	processingTimeHeader = "Coltsfoot-Spent"
+	reasonHeader         = "Coltsfoot-Reason"
+	arrivedHeader        = "Coltsfoot-Arrived"
+	retryAfterHeader     = "Coltsfoot-Pause"
+	statusHeader         = "Coltsfoot-Status"
 )
 
 func setDurationHeader(h http.Header, name string, d time.Duration) {
@@ -62,15 +61,6 @@
 	return f
 }
 
-// rateHeader returns a number from 0 to 1 that another daemon has sent, or 0 if it is
-// missing or invalid.
-func rateHeader(h http.Header, name string) float64 {
-	if f := floatHeader(h, name); f > 0 && f <= 1 {
-		return f
-	}
-	return 0
-}
-
 func durationHeader(h http.Header, name string) time.Duration {
 	return time.Duration(intHeader(h, name)) * time.Microsecond
 }
@@ -93,32 +83,28 @@
 	if a.Baseline > 0 {
 		setDurationHeader(h, baselineHeader, a.Baseline)
 	}
-	if a.BaselineFailureRate > 0 {
-		h.Set(baselineFailingHeader, strconv.FormatFloat(a.BaselineFailureRate, 'f', 3, 64))
-	}
 }
 
 // readAttempt returns the attempt in a request, without its body.
 func readAttempt(r *http.Request) *Attempt {
 	h := r.Header
 	return &Attempt{
-		ID:                  h.Get(idHeader),
-		Service:             h.Get(forwarder.ServiceHeader),
-		Version:             h.Get(forwarder.VersionHeader),
-		Instance:            h.Get(instanceHeader),
-		Rule:                h.Get(forwarder.RouteHeader),
-		Kind:                matcher.Kind(intHeader(h, kindHeader)),
-		Priority:            intHeader(h, priorityHeader),
-		Caller:              h.Get(callerHeader),
-		Deadline:            time.Now().Add(durationHeader(h, remainingHeader)),
-		Objective:           time.Now().Add(durationHeader(h, objectiveHeader)),
-		MaxWait:             durationHeader(h, queueTimeoutHeader),
-		Baseline:            durationHeader(h, baselineHeader),
-		BaselineFailureRate: rateHeader(h, baselineFailingHeader),
-		Method:              r.Method,
-		URI:                 r.RequestURI,
-		Host:                r.Host,
-		Header:              forwarder.ForwardedHeader(h),
+		ID:        h.Get(idHeader),
+		Service:   h.Get(forwarder.ServiceHeader),
+		Version:   h.Get(forwarder.VersionHeader),
+		Instance:  h.Get(instanceHeader),
+		Rule:      h.Get(forwarder.RouteHeader),
+		Kind:      matcher.Kind(intHeader(h, kindHeader)),
+		Priority:  intHeader(h, priorityHeader),
+		Caller:    h.Get(callerHeader),
+		Deadline:  time.Now().Add(durationHeader(h, remainingHeader)),
+		Objective: time.Now().Add(durationHeader(h, objectiveHeader)),
+		MaxWait:   durationHeader(h, queueTimeoutHeader),
+		Baseline:  durationHeader(h, baselineHeader),
+		Method:    r.Method,
+		URI:       r.RequestURI,
+		Host:      r.Host,
+		Header:    forwarder.ForwardedHeader(h),
 	}
 }
 
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -83,32 +83,28 @@
 		uri = r.URL.RequestURI()
 	}
 	var baseline time.Duration
-	var baselineFailureRate float64
 	if c.canary {
-		old := d.Pool(c.service).Targets
-		baseline = d.Chooser.ServiceTimeAt(c.rule.Name, old)
-		baselineFailureRate = d.Chooser.FaultRate(old)
+		baseline = d.Chooser.ServiceTimeAt(c.rule.Name, d.Pool(c.service).Targets)
 	}
 	return &carrier.Attempt{
-		ID:                  c.client.ID,
-		Service:             c.service,
-		Version:             t.Version,
-		Instance:            t.Instance,
-		Rule:                c.rule.Name,
-		Kind:                c.rule.Kind,
-		Priority:            c.rule.Priority,
-		Caller:              d.Caller,
-		Deadline:            c.deadline,
-		Objective:           r.Began.Add(c.rule.Objective),
-		MaxWait:             queueTimeout,
-		Baseline:            baseline,
-		BaselineFailureRate: baselineFailureRate,
-		MayGiveUp:           d.mayGiveUp(c),
-		Method:              r.Method,
-		URI:                 uri,
-		Host:                r.Host,
-		Header:              r.Header,
-		Body:                r.Body,
+		ID:        c.client.ID,
+		Service:   c.service,
+		Version:   t.Version,
+		Instance:  t.Instance,
+		Rule:      c.rule.Name,
+		Kind:      c.rule.Kind,
+		Priority:  c.rule.Priority,
+		Caller:    d.Caller,
+		Deadline:  c.deadline,
+		Objective: r.Began.Add(c.rule.Objective),
+		MaxWait:   queueTimeout,
+		Baseline:  baseline,
+		MayGiveUp: d.mayGiveUp(c),
+		Method:    r.Method,
+		URI:       uri,
+		Host:      r.Host,
+		Header:    r.Header,
+		Body:      r.Body,
 	}
 }
 
--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -81,15 +81,13 @@
 	Withdrawn bool `json:"withdrawn,omitempty"`
 	// Calls counts the target's responses during the rollout of its version whose
 	// record has the revision Rollout. Failures counts the failed ones among them, Timed
-	// those whose duration was judged and Slow the slow ones among those. Expected is the
-	// number of failures to be expected at the old version's failure rate. They are
+	// those whose duration was judged and Slow the slow ones among those. They are
 	// published after each failure and, at intervals, after slow responses.
-	Calls    int     `json:"calls,omitempty"`
-	Failures int     `json:"faults,omitempty"`
-	Timed    int     `json:"timed,omitempty"`
-	Slow     int     `json:"slow,omitempty"`
-	Expected float64 `json:"expected,omitempty"`
-	Rollout  uint64  `json:"rollout,omitempty"`
+	Calls    int    `json:"calls,omitempty"`
+	Failures int    `json:"faults,omitempty"`
+	Timed    int    `json:"timed,omitempty"`
+	Slow     int    `json:"slow,omitempty"`
+	Rollout  uint64 `json:"rollout,omitempty"`
 }
 
 // WithStatus returns a copy of m with the given status.
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -35,9 +35,6 @@
 	// MeanDuration is the mean duration of the rule's requests at the old version, or 0 if
 	// it is unknown. The duration is not judged then.
 	MeanDuration time.Duration
-	// FailureRate is the old version's failure rate, 0 to 1, as the sender of the request
-	// knows it.
-	FailureRate float64
 }
 
 // timed reports whether the duration of the response is judged.
@@ -56,9 +53,6 @@
 	// Timed counts the responses whose duration was judged, and Slow those among them that
 	// took much longer than the mean.
 	Timed, Slow int
-	// Expected is the number of failures to be expected at the old version's failure rate,
-	// as the senders of the requests know it.
-	Expected float64
 }
 
 // minus returns the difference t - o.
@@ -68,7 +62,6 @@
 		Failures: t.Failures - o.Failures,
 		Timed:    t.Timed - o.Timed,
 		Slow:     t.Slow - o.Slow,
-		Expected: t.Expected - o.Expected,
 	}
 }
 
@@ -79,7 +72,6 @@
 		Failures: t.Failures + o.Failures,
 		Timed:    t.Timed + o.Timed,
 		Slow:     t.Slow + o.Slow,
-		Expected: t.Expected + o.Expected,
 	}
 }
 
@@ -105,7 +97,7 @@
 // failsTooOften reports whether the failures exceed their threshold. baselineFailureRate is
 // the old version's failure rate, 0 to 1.
 func (t Totals) failsTooOften(baselineFailureRate float64) bool {
-	expected := max(t.Expected, float64(t.Calls)*max(minExpectedFailureRate, baselineFailureRate))
+	expected := float64(t.Calls) * max(minExpectedFailureRate, baselineFailureRate)
 	return float64(t.Failures) >= expected+maxDeviations*math.Sqrt(expected)+extraFailures
 }
 
@@ -132,8 +124,8 @@
 }
 
 // Add counts a response during the rollout r and reports whether the version is
-// bad. baselineFailureRate is the old version's failure rate, 0 to 1; the sender's is used
-// if it is higher. Counts of another rollout are discarded.
+// bad. baselineFailureRate is the old version's failure rate, 0 to 1. Counts of
+// another rollout are discarded.
 func (j *Judge) Add(r Rollout, res RequestResult, baselineFailureRate float64) (bad bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -150,7 +142,6 @@
 	}
 	c.add(res)
 	j.total.Calls++
-	j.total.Expected += res.FailureRate
 	if res.Failed {
 		j.total.Failures++
 	}
@@ -160,7 +151,7 @@
 	if res.slow() {
 		j.total.Slow++
 	}
-	j.bad = j.bad || c.bad(max(res.FailureRate, baselineFailureRate))
+	j.bad = j.bad || c.bad(baselineFailureRate)
 	return j.bad
 }
 
--- a/internal/shifter/shifter_test.go
+++ b/internal/shifter/shifter_test.go
@@ -117,8 +117,6 @@
 		"one failure in twelve":                       {reports: []shifter.Totals{{Calls: 90, Failures: 8}}, bad: true},
 		"one failure in twelve, old version the same": {reports: []shifter.Totals{{Calls: 90, Failures: 8}}, baselineFailureRate: 0.08},
 		"most fail, old version fails less":           {reports: []shifter.Totals{{Calls: 60, Failures: 40}}, baselineFailureRate: 0.2, bad: true},
-		"one failure in twelve, as senders expect":    {reports: []shifter.Totals{{Calls: 90, Failures: 8, Expected: 7}}},
-		"most fail, senders expect less":              {reports: []shifter.Totals{{Calls: 60, Failures: 40, Expected: 12}}, bad: true},
 		"five slow responses besides one target":      {reports: []shifter.Totals{target(3, 3), target(3, 2), target(3, 3)}},
 		"a sixth of the responses slow":               {reports: []shifter.Totals{target(24, 4), target(24, 4), target(24, 4)}, bad: true},
 		"a tenth of the responses slow":               {reports: []shifter.Totals{target(500, 50), target(500, 50), target(500, 50)}},
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"math"
 	"net/http"
 	"time"
 
@@ -54,7 +53,6 @@
 		Failed:       r.TargetFailed() && r.Status != http.StatusGatewayTimeout,
 		Duration:     r.Duration,
 		MeanDuration: cmp.Or(attempt.Baseline, d.chooser.ServiceTimeAt(attempt.Rule, s.targets)),
-		FailureRate:  attempt.BaselineFailureRate,
 	}
 	if d.gate.IsCold() {
 		res.MeanDuration = 0
@@ -62,7 +60,7 @@
 	bad := d.judge.Add(*s.rollout, res, d.chooser.FaultRate(s.targets))
 	total := d.judge.Total(*s.rollout)
 	d.log.Info("response of a new version", "request", attempt.ID, "rule", attempt.Rule, "took", res.Duration, "mean", res.MeanDuration,
-		"calls", total.Calls, "failures", total.Failures, "timed", total.Timed, "slow", total.Slow, "expected", total.Expected)
+		"calls", total.Calls, "failures", total.Failures, "timed", total.Timed, "slow", total.Slow)
 	if !bad {
 		d.publishCounts(s)
 		return
@@ -96,7 +94,6 @@
 	next := *self
 	next.Rollout, next.Calls, next.Failures = r.Revision, total.Calls, total.Failures
 	next.Timed, next.Slow = total.Timed, total.Slow
-	next.Expected = math.Round(total.Expected*1000) / 1000 // short in JSON
 	d.publishTarget(&next)
 }
 
@@ -107,7 +104,6 @@
 		Failures: t.Failures,
 		Timed:    t.Timed,
 		Slow:     t.Slow,
-		Expected: t.Expected,
 	}
 }
 
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -154,7 +154,7 @@
 	}
 	if known := d.members.Self().Target; known != nil && known.Version == next.Version {
 		next.Rollout, next.Calls, next.Failures = known.Rollout, known.Calls, known.Failures
-		next.Timed, next.Slow, next.Expected = known.Timed, known.Slow, known.Expected
+		next.Timed, next.Slow = known.Timed, known.Slow
 	}
 	d.publishTarget(&next)
 }
