--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// TestLimit checks that a target gets the number of requests per second that it names,
+// TestLimit checks that a target gets the number of requests per second of its rate limit,
 // fractions included, and no more.
 func TestLimit(t *testing.T) {
 	for _, limit := range []float64{0.01, 0.5, 1.9, 43.7} {
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -113,7 +113,7 @@
 		"status", r.Status, "took", r.Duration, "cut", r.Aborted, "timedout", r.TimedOut, "err", r.Err)
 }
 
-// observeLimit counts and logs a change of the limit that the local target names.
+// observeLimit counts and logs a change of the local target's rate limit.
 func (d *Daemon) observeLimit(a *carrier.Attempt, perSecond float64) {
 	d.incrementCounter("target.limits")
 	d.log.Info("target names another limit", "instance", a.Instance, "persecond", perSecond, "request", a.ID)
--- a/internal/sidecar/relays_test.go
+++ b/internal/sidecar/relays_test.go
@@ -29,8 +29,8 @@
 	return d, relays
 }
 
-// TestRelayThatLosesStoreIsReplacedAtOnce guards against daemons that wait for a relay
-// which has said that it does not reach the store.
+// TestRelayThatLosesStoreIsReplacedAtOnce guards against daemons that rely on a relay
+// whose last update reports that it does not reach the store.
 func TestRelayThatLosesStoreIsReplacedAtOnce(t *testing.T) {
 	d, relays := newNonRelay(t)
 	update := func(relay string, reachable bool) {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -116,8 +116,8 @@
 }
 
 // handleLeavingResponse handles a response of the target which says that it shuts down.
-// That holds like a leave report: the process gets no further requests, whatever it
-// announces.
+// It has the effect of a leave report: the process gets no further requests, even if it
+// still announces itself as ready.
 func (d *Daemon) handleLeavingResponse(a *carrier.Attempt) {
 	d.announcementMu.Lock()
 	defer d.announcementMu.Unlock()
