compressor: one encoder with small tables for what daemons send to each other

Cause: linker and follower each kept a zstd encoder of the default level and window. An encoder keeps the tables and the window of the largest data that it has compressed.

Change: package compressor holds what both packages had of zstd.

--- a/internal/follower/codec.go
+++ b/internal/follower/codec.go
@@ -5,11 +5,10 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
-	"math/bits"
 
-	"github.com/klauspost/compress/zstd"
 	"github.com/zeebo/errs"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/compressor"
 	"github.com/coltsfootlane/coltsfootlane/internal/storer"
 )
 
@@ -20,21 +19,7 @@
 // It leaves room for several records of the largest size that the platform stores.
 const maxCopyBytes = 8 << 20
 
-// maxWindowSize bounds the window of copies that are packed against another, so that
-// any decoder accepts them.
-const maxWindowSize = 8 << 20
-
-// dictionaryID is the ID of the dictionary of zstd frames that are packed against
-// another copy.
-const dictionaryID = 1
-
-// encoder and decoder are safe for concurrent use. Their errors are ignored because
-// these options are always valid.
-var (
-	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
-	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(maxCopyBytes))
-)
+var decompressor = compressor.NewDecompressor(maxCopyBytes)
 
 // Encodings of the items of a PackedCopy.
 const (
@@ -77,7 +62,7 @@
 	}
 	return PackedCopy{
 		Revision: c.Revision,
-		Data:     encoder.EncodeAll(data, nil),
+		Data:     compressor.Append(nil, data),
 	}, nil
 }
 
@@ -89,24 +74,15 @@
 		Encoding: binaryEncoding,
 	}
 	if len(base.Items) == 0 {
-		p.Data = encoder.EncodeAll(c.encode(), nil)
+		p.Data = compressor.Append(nil, c.encode())
 		return p, nil
 	}
-	dictionary, data := base.encode(), c.encode()
-	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true),
-		zstd.WithWindowSize(windowSize(len(dictionary)+len(data))), zstd.WithEncoderDictRaw(dictionaryID, dictionary))
+	data, err := compressor.CompressSince(base.encode(), c.encode())
 	if err != nil {
 		return PackedCopy{}, Class.Wrap(err)
 	}
-	p.Base = base.Digest()
-	p.Data = e.EncodeAll(data, nil)
-	return p, Class.Wrap(e.Close())
-}
-
-// windowSize returns the smallest window of zstd that spans n bytes, as the encoder's
-// memory grows with it.
-func windowSize(n int) int {
-	return min(max(1<<bits.Len(uint(n)), zstd.MinWindowSize), maxWindowSize)
+	p.Base, p.Data = base.Digest(), data
+	return p, nil
 }
 
 // Unpack decompresses and decodes a copy that has no base. It fails if the data is
@@ -140,19 +116,12 @@
 // decompress returns the encoded items.
 func (p PackedCopy) decompress(base Copy) ([]byte, error) {
 	if p.Base == "" {
-		return decoder.DecodeAll(p.Data, nil)
+		return decompressor.Decompress(p.Data)
 	}
 	if known := base.Digest(); known != p.Base {
 		return nil, Class.New("packed against the copy %s, not %s", p.Base, known)
 	}
-	// The checksum of the frame covers the dictionary's content too.
-	d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(maxCopyBytes), zstd.WithDecoderDictRaw(dictionaryID, base.encode()))
-	if err != nil {
-		return nil, err
-	}
-	defer d.Close()
-	return d.DecodeAll(p.Data, nil)
+	return decompressor.DecompressSince(base.encode(), p.Data)
 }
 
 // size returns the approximate memory of the items, in bytes.
--- a/internal/linker/codec.go
+++ b/internal/linker/codec.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
+	"github.com/coltsfootlane/coltsfootlane/internal/compressor"
 )
 
 // MaxFrameBytes is the maximum size of a frame's body in bytes, both compressed
@@ -44,12 +44,7 @@
 	errFrameDepth = errors.New("frame nested too deep")
 )
 
-// compressor and decompressor are safe for concurrent use.
-var (
-	compressor, _   = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(2), zstd.WithLowerEncoderMem(true))
-	decompressor, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(2), zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(MaxFrameBytes))
-)
+var decompressor = compressor.NewDecompressor(MaxFrameBytes)
 
 // frameCodec is a jsonrpc2.ObjectCodec for one connection. A frame is a length of
 // four bytes in big-endian order, and a body of that many bytes of JSON. If the
@@ -93,7 +88,7 @@
 		frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(data)), uint32(len(data)))
 		return append(frame, data...), nil
 	}
-	frame := compressor.EncodeAll(data, make([]byte, 4, 4+len(data)/2))
+	frame := compressor.Append(make([]byte, 4, 4+len(data)/2), data)
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4)|compressedFlag)
 	return frame, nil
 }
@@ -144,7 +139,7 @@
 		return nil, io.ErrUnexpectedEOF
 	}
 	if compressed {
-		data, err = decompressor.DecodeAll(data, nil)
+		data, err = decompressor.Decompress(data)
 	}
 	if err != nil {
 		return nil, err
