sidecar: don't take requests that may outlast a graceful shutdown

Reported by operators of similar systems: in a planned stop in calm, requests that came late in the grace were taken and cut at its end.

Cause: only the end of the receiver was set by the longest timeout, and not before the platform has noticed. Attempts of other daemons were not looked at.

Change: from SIGTERM on, the dispatcher and the gate reject a request whose deadline is after the end of the shutdown, as not run and with Retry-After. Gates reject queued ones too, which then go to other targets. Requests whose timeout ends before are taken as before.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -21,6 +21,7 @@
 var (
 	ErrUnknownTarget = classifier.NewFailure(classifier.NotRun, "no such target here", nil)
 	ErrShuttingDown  = classifier.NewFailure(classifier.NotRun, "target leaving", nil)
+	ErrStopping      = classifier.NewFailure(classifier.NotRun, "daemon stops before the request may end", nil)
 	ErrTargetClosed  = classifier.NewFailure(classifier.NotRun, "target closed to new requests", nil)
 	ErrBusy          = classifier.NewFailure(classifier.NotRun, "target busy", nil)
 	ErrBreakerOpen   = classifier.NewFailure(classifier.NotRun, "target turns requests away", nil)
@@ -94,6 +95,9 @@
 	// Closed reports whether the target must not get requests for an external
 	// reason, for example because its zone is evacuated.
 	Closed func(t Target) bool
+	// ServesUntil returns the time at which the process ends, or the zero time if that is
+	// not known. Requests with a later deadline are rejected.
+	ServesUntil func() time.Time
 
 	mu     sync.Mutex
 	target *Target
@@ -255,6 +259,8 @@
 		return err
 	}
 	switch {
+	case g.endsBefore(r.Deadline):
+		return ErrStopping
 	case g.breaker.open(now):
 		return ErrBreakerOpen
 	case now.Add(time.Duration(minServiceFraction * float64(g.meanServiceTime(r.Rule)))).After(r.Deadline):
@@ -263,6 +269,12 @@
 	return nil
 }
 
+// endsBefore reports whether the process ends before a deadline.
+func (g *Gate) endsBefore(deadline time.Time) bool {
+	end := g.ServesUntil()
+	return !end.IsZero() && deadline.After(end)
+}
+
 // checkOpen rejects requests to an instance that is gone, leaves or is closed.
 func (g *Gate) checkOpen(instance string) error {
 	switch {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -17,13 +17,16 @@
 	*admitter.Gate
 	clock  *timekeeper.Virtual
 	closed bool
+	// end is the time at which the process ends.
+	end time.Time
 }
 
 func newHarness(t admitter.Target) *harness {
 	r := &harness{clock: timekeeper.NewVirtual(time.Unix(1000, 0))}
 	r.Gate = &admitter.Gate{
-		Clock:  r.clock,
-		Closed: func(admitter.Target) bool { return r.closed },
+		Clock:       r.clock,
+		Closed:      func(admitter.Target) bool { return r.closed },
+		ServesUntil: func() time.Time { return r.end },
 	}
 	r.SetTarget(t)
 	return r
@@ -226,6 +229,10 @@
 			r.closed = true
 			r.CheckQueue()
 		},
+		"daemon stops": func(r *harness) {
+			r.end = r.newRequest().Deadline.Add(-time.Millisecond)
+			r.CheckQueue()
+		},
 		"restarted": func(r *harness) {
 			next := target()
 			next.Instance = "i-2"
@@ -252,6 +259,20 @@
 	}
 }
 
+// TestNoRequestIsAdmittedThatMayOutlastTheDaemon guards against requests that are cut at
+// the end of a graceful shutdown.
+func TestNoRequestIsAdmittedThatMayOutlastTheDaemon(t *testing.T) {
+	r := newHarness(target())
+	r.end = r.newRequest().Deadline
+	if err := r.acquire(r.newRequest()); err != nil {
+		t.Errorf("request with its deadline at the end: %v, want it admitted", err)
+	}
+	r.clock.Advance(time.Millisecond)
+	if err := r.acquire(r.newRequest()); err != admitter.ErrStopping {
+		t.Errorf("request with a later deadline: %v, want %v", err, admitter.ErrStopping)
+	}
+}
+
 func TestPriority(t *testing.T) {
 	r := newHarness(target())
 	for range 2 {
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -50,8 +50,9 @@
 		}
 	}()
 	gate := &admitter.Gate{
-		Clock:  timekeeper.System{},
-		Closed: func(admitter.Target) bool { return false },
+		Clock:       timekeeper.System{},
+		Closed:      func(admitter.Target) bool { return false },
+		ServesUntil: func() time.Time { return time.Time{} },
 	}
 	gate.SetTarget(admitter.Target{Instance: "i-1", Slots: 4, ColdRate: 5})
 	r.Deliverer = &deliverer.Deliverer{
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -72,6 +72,9 @@
 	Chooser     *chooser.Chooser
 	RetryBudget *RetryBudget
 	Clock       timekeeper.Clock
+	// ServesUntil returns the time at which the process ends, or the zero time if that is
+	// not known. Requests with a later deadline are rejected.
+	ServesUntil func() time.Time
 	// OnResult is called when a request has ended.
 	OnResult func(r Result)
 
@@ -104,6 +107,7 @@
 	errNoTarget   = classifier.NewFailure(classifier.NotRun, "no target takes this", nil)
 	errClientGone = classifier.NewFailure(classifier.NotRun, "client went away before it was sent", nil)
 	errExpired    = classifier.NewFailure(classifier.NotRun, "time ran out before it was sent", nil)
+	errStopping   = classifier.NewFailure(classifier.NotRun, "daemon stops before the request may end", nil)
 	errBadHeaders = classifier.NewFailure(classifier.NotRun, "bad request headers", nil)
 )
 
@@ -174,6 +178,9 @@
 		remaining = min(remaining, c.client.TimeLeft)
 	}
 	c.deadline = c.request.Began.Add(remaining - responseMargin)
+	if end := d.ServesUntil(); !end.IsZero() && c.deadline.After(end) {
+		return nil, errStopping
+	}
 	c.service = d.chooseService(rule)
 	d.RetryBudget.Deposit(c.service)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -99,6 +99,7 @@
 		Chooser:     chooser.New(timekeeper.System{}),
 		RetryBudget: budget,
 		Clock:       timekeeper.System{},
+		ServesUntil: func() time.Time { return time.Time{} },
 		OnResult:    func(result dispatcher.Result) { r.lastResult = result },
 	}
 	return r
@@ -187,6 +188,21 @@
 
 // TestGoneClientNotSent checks that no attempt is sent for a client that has closed its
 // connection, even if the context has not ended.
+// TestRequestThatMayOutlastTheDaemon guards against requests that are cut at the end of a
+// graceful shutdown.
+func TestRequestThatMayOutlastTheDaemon(t *testing.T) {
+	for left, want := range map[string]int{"300ms": http.StatusOK, "600ms": http.StatusServiceUnavailable} {
+		r := newHarness(matcher.NonIdempotent, 1, answered(http.StatusOK))
+		end := time.Now().Add(500 * time.Millisecond)
+		r.ServesUntil = func() time.Time { return end }
+		resp := r.call("/pay/", "Left: "+left+"\r\n")
+		if resp.Status != want || (want != http.StatusOK && (len(r.sent) > 0 || resp.Header.Get("Retry-After") == "")) {
+			t.Errorf("%s left of 500ms: status %d, %d attempts, Retry-After %q; want status %d", left, resp.Status, len(r.sent),
+				resp.Header.Get("Retry-After"), want)
+		}
+	}
+}
+
 func TestGoneClientNotSent(t *testing.T) {
 	for name, steps := range map[string][]step{
 		"before the first attempt": nil,
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -31,6 +31,7 @@
 
 // shutdown stops the daemon gracefully. It reports not ready, keeps serving while
 // clients move to other daemons, then admits no further attempts at the local target.
+// It rejects requests that may take longer than it serves.
 // It closes the connections of clients once no request is in flight, or once the time
 // left is shorter than the longest timeout, and returns when they have ended or the grace
 // period is nearly over. The connections of other daemons are closed last. If the process
@@ -40,7 +41,9 @@
 	serviceTime := grace - min(killMargin, grace/4)
 	delay := max(0, min(unreadyDelay, serviceTime/2, serviceTime-closeTime))
 	startTime := d.clock.Now()
-	deadline := startTime.Add(serviceTime)
+	serviceEnd := startTime.Add(serviceTime)
+	d.serviceEnd.Store(&serviceEnd)
+	deadline := serviceEnd
 	d.stopping.Store(true)
 	d.receiver.Drain()
 	d.log.Info("stopping", "grace", grace)
@@ -98,6 +101,15 @@
 	d.receiver.Stop()
 }
 
+// servesUntil returns the time at which the shutdown ends at the latest, or the zero time
+// before it begins.
+func (d *Daemon) servesUntil() time.Time {
+	if end := d.serviceEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // longestTimeout returns the longest timeout of the plan's rules.
 func (d *Daemon) longestTimeout() time.Duration {
 	p := d.plan()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -185,6 +185,9 @@
 	// the membership.
 	stopping atomic.Bool
 	left     atomic.Bool
+	// serviceEnd is the time at which a shutdown ends at the latest, or nil before it
+	// begins.
+	serviceEnd atomic.Pointer[time.Time]
 	// dependencies holds an *atomic.Bool by dependency name, which is true while
 	// the dependency is reachable.
 	dependencies sync.Map
@@ -270,8 +273,9 @@
 	d.retryBudget.SetLimits(s.Sidecar.RetryRatio, s.Sidecar.RetrySlack)
 	d.quarantine = quarantiner.New(o.Clock)
 	d.gate = &admitter.Gate{
-		Clock:  o.Clock,
-		Closed: d.admissionClosed,
+		Clock:       o.Clock,
+		Closed:      d.admissionClosed,
+		ServesUntil: d.servesUntil,
 	}
 	d.prober = prober.New(prober.Options{
 		Table:     d.members,
@@ -318,6 +322,7 @@
 		Chooser:     d.chooser,
 		RetryBudget: d.retryBudget,
 		Clock:       d.clock,
+		ServesUntil: d.servesUntil,
 		OnResult:    d.observeRequest,
 	}
 	return &receiver.Server{
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -110,6 +110,8 @@
 	// configVersion is the number of declared configurations. It is also the version
 	// of the newest one.
 	configVersion int
+	// routeTimeout is the timeout of the routes, or 0 for the default.
+	routeTimeout time.Duration
 	// activeFaults counts the store's active faults by kind.
 	activeFaults map[Kind]int
 	// moveRequested is when the move was requested, zero for none.
@@ -320,12 +322,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.configVersion++
-	_, err := s.store.Declare(s.configVersion,
-		emulator.Route{Prefix: "/s/", Kind: "safe", Service: mainService},
-		emulator.Route{Prefix: "/u/", Kind: "unsafe", Service: mainService},
-		emulator.Route{Prefix: "/p/", Kind: "upload", Service: sideService},
-		emulator.Route{Prefix: fmt.Sprintf("/n%d/", s.configVersion), Kind: "safe", Service: mainService},
-	)
+	routes := []emulator.Route{
+		{Prefix: "/s/", Kind: "safe", Service: mainService},
+		{Prefix: "/u/", Kind: "unsafe", Service: mainService},
+		{Prefix: "/p/", Kind: "upload", Service: sideService},
+		{Prefix: fmt.Sprintf("/n%d/", s.configVersion), Kind: "safe", Service: mainService},
+	}
+	for i := range routes {
+		routes[i].TimeoutMs = int(s.routeTimeout.Milliseconds())
+	}
+	_, err := s.store.Declare(s.configVersion, routes...)
 	if err != nil {
 		s.ledger.AddViolation("soak: %v", err)
 	}
--- a/internal/soaker/stop_test.go
+++ b/internal/soaker/stop_test.go
@@ -36,6 +36,8 @@
 	random *rand.Rand
 	name   string
 	sent   []*sentRequest
+	// timeout is the timeout of the requests.
+	timeout time.Duration
 	// usedAfterStop means that the connection was open when its client sent the first
 	// request after SIGTERM.
 	usedAfterStop bool
@@ -56,7 +58,7 @@
 				ID:      id,
 				Path:    []string{"/s/", "/u/"}[c.random.IntN(2)] + id,
 				Body:    "body",
-				Timeout: clientTimeout,
+				Timeout: c.timeout,
 			},
 			Sent: time.Now(),
 		},
@@ -118,9 +120,9 @@
 	}
 }
 
-// startStopTest starts the daemons and their targets. It keeps settings and logs if
-// the test fails.
-func startStopTest(t *testing.T) *soak {
+// startStopTest starts the daemons and their targets. Routes have the timeout, or the
+// default if it is 0. startStopTest keeps settings and logs if the test fails.
+func startStopTest(t *testing.T, routeTimeout time.Duration) *soak {
 	dir, err := os.MkdirTemp("", "stop-")
 	if err != nil {
 		t.Fatal(err)
@@ -138,10 +140,11 @@
 			Dir:     dir,
 			Nodes:   stopNodes,
 		},
-		ledger: NewLedger(),
-		store:  emulator.NewRecords(timekeeper.System{}),
-		host:   fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), os.Getpid()&0xff, 1+soakCount.Add(1)&0x7f),
-		port:   15000 + rand.IntN(10000),
+		ledger:       NewLedger(),
+		store:        emulator.NewRecords(timekeeper.System{}),
+		host:         fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), os.Getpid()&0xff, 1+soakCount.Add(1)&0x7f),
+		port:         15000 + rand.IntN(10000),
+		routeTimeout: routeTimeout,
 	}
 	t.Cleanup(s.close)
 	if err := s.startStore(); err != nil {
@@ -174,26 +177,32 @@
 	var conns []*keptConn
 	for i, n := range s.nodes[:stoppedNodes] {
 		for j := range connsPerNode << i {
-			conn, err := net.Dial("tcp", n.settings.Listen.Traffic)
-			if err != nil {
-				t.Fatal(err)
-			}
-			c := &keptConn{
-				Conn:   conn,
-				reader: bufio.NewReader(conn),
-				node:   n,
-				random: rand.New(rand.NewPCG(uint64(i), uint64(j))),
-				name:   fmt.Sprintf("%s-%d", n.settings.Name, j),
-			}
-			if !c.send() {
-				t.Fatalf("%s: connection closed before the shutdown: %v", c.name, c.sent[0].Err)
-			}
-			conns = append(conns, c)
+			conns = append(conns, newKeptConn(t, n, i, j, clientTimeout))
 		}
 	}
 	return conns
 }
 
+// newKeptConn opens a connection to a daemon and gets a response on it.
+func newKeptConn(t *testing.T, n *node, seed, number int, timeout time.Duration) *keptConn {
+	conn, err := net.Dial("tcp", n.settings.Listen.Traffic)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &keptConn{
+		Conn:    conn,
+		reader:  bufio.NewReader(conn),
+		node:    n,
+		timeout: timeout,
+		random:  rand.New(rand.NewPCG(uint64(seed), uint64(number))),
+		name:    fmt.Sprintf("%s-%d", n.settings.Name, number),
+	}
+	if !c.send() {
+		t.Fatalf("%s: connection closed before the shutdown: %v", c.name, c.sent[0].Err)
+	}
+	return c
+}
+
 // starve returns pauses that leave a process the given time to run between two of
 // them.
 func starve(run time.Duration) []ShutdownPause {
@@ -206,7 +215,7 @@
 func TestStopLosesRequestsOnKeptConnections(t *testing.T) {
 	for name, paused := range map[string]bool{"running": false, "paused": true} {
 		t.Run(name, func(t *testing.T) {
-			s := startStopTest(t)
+			s := startStopTest(t, 0)
 			conns := connect(t, s)
 			stopped := time.Now()
 			var running sync.WaitGroup
@@ -230,6 +239,36 @@
 	}
 }
 
+// TestStopWithLongRequests stops one daemon while requests that need most of their timeout
+// arrive on kept connections, at any time until the exit. Requests that would not end before
+// it must be rejected.
+func TestStopWithLongRequests(t *testing.T) {
+	const (
+		conns                = 40
+		timeout, serviceTime = 5 * time.Second, 4 * time.Second
+	)
+	s := startStopTest(t, timeout)
+	stopped := s.nodes[1] // a node of the main service
+	kept := make([]*keptConn, conns)
+	for i := range kept {
+		kept[i] = newKeptConn(t, stopped, 1, i, timeout)
+	}
+	for _, n := range s.nodes {
+		n.backend.SetFaults(emulator.BackendFaults{Slow: serviceTime})
+	}
+	start := time.Now()
+	var running sync.WaitGroup
+	running.Go(func() { stopped.process.stop() })
+	for _, c := range kept {
+		running.Go(func() { c.keepSending(start.Add(time.Duration(c.random.Float64() * float64(stopped.process.grace)))) })
+	}
+	running.Wait()
+	for _, n := range s.nodes {
+		n.crashTarget()
+	}
+	checkNotLost(t, s.ledger, kept)
+}
+
 // checkNotLost checks that each request on the connections got a response, or was
 // neither forwarded nor unanswered for longer than shutdownLossSlack. A request that was
 // rejected must not have run. A quarter of the connections must have been used after
