sidecar: tell all daemons of an event, not the first 128

Cause: callMembers called the first 128 live members by name. In a fleet of 195, the same 67 daemons never heard of a crash report, nor directly of a withdrawn version or of a target that leaves.

Change: package broadcaster. Above 128 receivers, the sender calls one daemon of each of √n groups, which handles the event and passes it on to its group; after two that don't answer, the sender calls the rest of the group itself.

--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"math/rand/v2"
 	"time"
@@ -86,11 +87,6 @@
 	d.updateSelf(func(m prober.Member) prober.Member { return m.WithStatus(prober.Left) })
 }
 
-// maxDirectPeers bounds the members to which one event is sent directly. In
-// larger fleets, changes of the daemon's record reach the other members by gossip.
-// Crash reports do not reach them.
-const maxDirectPeers = 128
-
 // updateSelf changes the daemon's own member record and sends it to the other
 // members at once.
 func (d *Daemon) updateSelf(change func(prober.Member) prober.Member) {
@@ -109,22 +105,52 @@
 	})
 }
 
-// callMembers calls a method of up to maxDirectPeers live members. It does not
-// wait for the responses.
+// callMembers calls a method of all live members, some of them through others. It does
+// not wait for the responses.
 func (d *Daemon) callMembers(method string, params any) {
-	called := 0
+	var addresses []string
 	for _, m := range d.members.All() {
-		if m.ID == d.settings.Name || m.Status > prober.Suspect || called == maxDirectPeers {
-			continue
+		if m.ID != d.settings.Name && m.Status <= prober.Suspect {
+			addresses = append(addresses, m.Control)
 		}
-		called++
-		go func() {
-			if err := d.client.Call(context.Background(), m.Control, method, params, nil); err != nil {
-				d.incrementCounter("member.failed")
-				d.log.Debug("call to peer failed", "peer", m.ID, "method", method, "err", err)
-			}
-		}()
 	}
+	if err := d.broadcaster.Send(method, params, addresses); err != nil {
+		d.log.Error("event not sent", "method", method, "err", err)
+	}
+}
+
+// callMember calls a method of the daemon at an address.
+func (d *Daemon) callMember(address, method string, params any) error {
+	err := d.client.Call(context.Background(), address, method, params, nil)
+	if err != nil {
+		d.incrementCounter("member.failed")
+		d.log.Debug("call to peer failed", "peer", address, "method", method, "err", err)
+	}
+	return err
+}
+
+// handleEvent handles an event that another daemon has sent through a third one.
+func (d *Daemon) handleEvent(method string, params json.RawMessage) error {
+	switch method {
+	case memberMethod:
+		return handleParams(params, d.handleMember)
+	case crashMethod:
+		return handleParams(params, d.handleCrash)
+	case withdrawMethod:
+		return handleParams(params, d.handleWithdraw)
+	default:
+		return Class.New("no event %q", method)
+	}
+}
+
+// handleParams decodes the parameters of a method and calls it.
+func handleParams[Params, Result any](data json.RawMessage, handle func(context.Context, Params) (Result, error)) error {
+	var params Params
+	if err := json.Unmarshal(data, &params); err != nil {
+		return Class.Wrap(err)
+	}
+	_, err := handle(context.Background(), params)
+	return err
 }
 
 // handleJoin adds a daemon that has started to the members and returns all of
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/internal/broadcaster"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
@@ -116,6 +117,7 @@
 	prober                            *prober.Prober
 	client                            *linker.Client
 	control                           *linker.Server
+	broadcaster                       *broadcaster.Broadcaster
 	chooser                           *chooser.Chooser
 	gate                              *admitter.Gate
 	receiver                          *receiver.Server
@@ -294,6 +296,13 @@
 	linker.Handle(d.control, relayUpdateMethod, d.handleRelayUpdate)
 	linker.Handle(d.control, withdrawMethod, d.handleWithdraw)
 	linker.Handle(d.control, copyMethod, d.handleCopy)
+	d.broadcaster = &broadcaster.Broadcaster{
+		Call:   d.callMember,
+		Handle: d.handleEvent,
+	}
+	linker.Handle(d.control, broadcaster.RelayMethod, func(_ context.Context, r broadcaster.Relay) (struct{}, error) {
+		return struct{}{}, d.broadcaster.HandleRelay(r)
+	})
 	return d
 }
 
