sidecar: a relay announces that its lease has ended

A relay notices within 0.7 s, the other daemons at their next renewal, up to 6 s later, and until then a daemon that starts does not find them.

Change: a relay whose lease has ended announces it like a recovery of the store, on which the daemons of its data centre renew within a second.

TestExpiredLeaseIsAnnounced checks the announcement and that it is taken.

--- a/internal/sidecar/registration.go
+++ b/internal/sidecar/registration.go
@@ -58,6 +58,7 @@
 		if errors.Is(err, storer.ErrLeaseExpired) {
 			d.log.Info("lease of the registration expired; registering again")
 			lease = ""
+			d.announceExpiredLease()
 			continue
 		}
 		if d.setDependency("store registration", err == nil, err) {
@@ -115,6 +116,13 @@
 	}
 }
 
+// announceExpiredLease announces the end of a relay's lease like a recovery of the store. It
+// may have ended the leases of the other daemons too, which renew them rarely.
+func (d *Daemon) announceExpiredLease() {
+	d.storeRecoveries.Add(1)
+	d.triggerRelayUpdate()
+}
+
 // restartWatches restarts the watches of the store. The store may have dropped
 // them without an error when other calls begin to fail or to succeed again.
 func (d *Daemon) restartWatches() {
--- a/internal/sidecar/relays_test.go
+++ b/internal/sidecar/relays_test.go
@@ -130,3 +130,29 @@
 		t.Error("the announced change was not fetched during the poll")
 	}
 }
+
+// TestExpiredLeaseIsAnnounced guards against daemons that stay unregistered for a whole
+// renewal period after the store has revoked leases without an outage.
+func TestExpiredLeaseIsAnnounced(t *testing.T) {
+	relay := newRolloutDaemon()
+	other, _ := newNonRelay(t)
+	update := func() {
+		t.Helper()
+		u := relayUpdate{From: "zilina-10", StoreReachable: true, Recoveries: relay.storeRecoveries.Load()}
+		if _, err := other.handleRelayUpdate(t.Context(), u); err != nil {
+			t.Fatal(err)
+		}
+	}
+	update()
+	if len(other.storeRecovered) != 0 {
+		t.Fatal("registers again without a reason")
+	}
+	relay.announceExpiredLease()
+	if len(relay.relayUpdateDue) != 1 {
+		t.Error("the relay sends no update")
+	}
+	update()
+	if len(other.storeRecovered) != 1 {
+		t.Error("the other daemon does not register again at once")
+	}
+}
