receiver, linker: a panic ends one request or call, not the process

Reported by operators of similar systems: an unexpected error took a whole process down. By reading it could happen here: the goroutines that handle clients' requests and the calls of other daemons had no recover, unlike those of net/http.

Change: a panic fails the request with 502 (it may have run), or the call with an error, and is logged with its stack and counted (request.panics).

TestPanicEndsOneRequest and TestPanicFailsOneCall; without the change either test process ends.

--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -14,6 +14,7 @@
 	"io"
 	"log"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -225,6 +226,16 @@
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
+	return m.safeCall(ctx, request)
+}
+
+// safeCall calls the method. A panic in it fails the call and doesn't end the process.
+func (m method) safeCall(ctx context.Context, request any) (result any, err error) {
+	defer func() {
+		if value := recover(); value != nil {
+			err = Class.New("panic: %v\n%s", value, debug.Stack())
+		}
+	}()
 	return m.call(ctx, request)
 }
 
--- a/internal/linker/linker_test.go
+++ b/internal/linker/linker_test.go
@@ -200,3 +200,17 @@
 		}
 	})
 }
+
+// TestPanicFailsOneCall guards against a message that ends the process.
+func TestPanicFailsOneCall(t *testing.T) {
+	s := NewServer("the right key")
+	Handle(s, "panic", func(_ context.Context, e echo) (echo, error) { panic(e.Text) })
+	c := NewClient("the right key", callTimeout)
+	address := serve(t, s)
+	if err := c.Call(t.Context(), address, "panic", echo{Text: "odd"}, nil); err == nil || !strings.Contains(err.Error(), "panic: odd") {
+		t.Errorf("error %v, want that of the panic", err)
+	}
+	if err := c.Call(t.Context(), address, "echo", echo{Text: "a"}, nil); err != nil {
+		t.Errorf("call after the panic: %v", err)
+	}
+}
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -392,7 +392,18 @@
 	bufferedBytes := int64(len(x.request.Body))
 	c.server.bufferedBytes.Add(bufferedBytes)
 	defer c.server.bufferedBytes.Add(-bufferedBytes)
-	x.response <- c.server.Handle(c.ctx, x.request)
+	x.response <- c.callHandler(x.request)
+}
+
+// callHandler calls the handler. A panic in it ends the request and not the process.
+func (c *connection) callHandler(r *Request) (resp *Response) {
+	defer func() {
+		if value := recover(); value != nil {
+			c.server.OnPanic(r, value)
+			resp = errorResponse(http.StatusBadGateway)
+		}
+	}()
+	return c.server.Handle(c.ctx, r)
 }
 
 // writeResponses writes the responses in the order of the requests. After the final
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -60,6 +60,9 @@
 	// OnRejected is called for each request that is not handled, with the status of
 	// the response. r is nil if the request could not be read.
 	OnRejected func(r *Request, status int, err error)
+	// OnPanic is called with the value of a panic of Handle. The request gets status 502,
+	// since it may have run.
+	OnPanic func(r *Request, value any)
 	// OnUnanswered is called for each connection that ended without a response to a
 	// request.
 	OnUnanswered func(e Ending)
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -31,6 +31,7 @@
 		Limits:           func() receiver.Limits { return limits },
 		OnRejected:       func(*receiver.Request, int, error) {},
 		OnUnanswered:     func(receiver.Ending) {},
+		OnPanic:          func(*receiver.Request, any) {},
 		MaxBufferedBytes: 1 << 20,
 	}
 }
@@ -346,3 +347,29 @@
 		}
 	}
 }
+
+// TestPanicEndsOneRequest guards against a request that ends the process.
+func TestPanicEndsOneRequest(t *testing.T) {
+	s := newServer(generousLimits, func(_ context.Context, r *receiver.Request) *receiver.Response {
+		if r.URL.Path == "/panic" {
+			panic("index out of range")
+		}
+		return &receiver.Response{Status: http.StatusOK}
+	})
+	var reported any
+	s.OnPanic = func(_ *receiver.Request, value any) { reported = value }
+	address := serve(t, s, nil)
+	for path, want := range map[string]int{"/panic": http.StatusBadGateway, "/": http.StatusOK} {
+		resp, err := http.Get("http://" + address + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%s: status %d, want %d", path, resp.StatusCode, want)
+		}
+	}
+	if reported != "index out of range" {
+		t.Errorf("reported %v", reported)
+	}
+}
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +79,13 @@
 	d.log.Warn("request not read", "status", status, "err", err)
 }
 
+// observePanic counts and logs a panic in the handling of a request.
+func (d *Daemon) observePanic(r *receiver.Request, value any) {
+	d.incrementCounter("request.panics")
+	client, _ := d.platform.Client(r.Header)
+	d.log.Error("panic while handling a request", "request", client.ID, "panic", value, "stack", string(debug.Stack()))
+}
+
 // observeUnanswered counts and logs a connection that ended without a response. A
 // client that leaves is usual; every other reason is a fault or a stop.
 func (d *Daemon) observeUnanswered(e receiver.Ending) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -114,15 +114,15 @@
 
 	operatorFollower, outcomeFollower *follower.Follower
 	members                           *prober.Table
-	prober                            *prober.Prober
-	client                            *linker.Client
-	control                           *linker.Server
-	broadcaster                       *broadcaster.Broadcaster
-	chooser                           *chooser.Chooser
-	gate                              *admitter.Gate
-	receiver                          *receiver.Server
-	judge                             shifter.Judge
-	retryBudget                       *dispatcher.RetryBudget
+	prober           *prober.Prober
+	client           *linker.Client
+	control          *linker.Server
+	broadcaster      *broadcaster.Broadcaster
+	chooser          *chooser.Chooser
+	gate             *admitter.Gate
+	receiver         *receiver.Server
+	judge            shifter.Judge
+	retryBudget      *dispatcher.RetryBudget
 	// quarantine identifies the requests that crash targets.
 	quarantine *quarantiner.Quarantiner
 
@@ -338,6 +338,7 @@
 		Handle:           dispatch.Handle,
 		Limits:           d.limits,
 		OnRejected:       d.observeRejectedRequest,
+		OnPanic:          d.observePanic,
 		OnUnanswered:     d.observeUnanswered,
 		MaxBufferedBytes: int64(bodyMemoryShare * float64(d.sidecar.MemoryMiB<<20)),
 	}
