sidecar: a daemon that restarts learns that its target was leaving

Reported by operators of similar systems: after a restart of a process, a server that had left was in use again. Shown here: a target sends its leave report, its daemon restarts, and an announcement that was sent before the leave arrives late.

Cause: only the daemon itself knew which of its target's processes have left.

Change: members keep the last entry in which a member's target was leaving, with the process's start, and tell the daemon when it joins or when they rejoin it. It ignores that process from then on, also if it has announced itself meanwhile. A process that starts later under the same name is not affected. With an answer to the join alone the test stayed red: the others may find the daemon first.

--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -77,6 +77,9 @@
 	// Instance identifies one start of the target. It is empty if targets have
 	// no instance IDs.
 	Instance string `json:"instance,omitempty"`
+	// StartedAt is the time at which the target started, in Unix milliseconds, or 0 if it
+	// is unknown. A restarted target may use the same instance ID.
+	StartedAt int64 `json:"started,omitempty"`
 	// Withdrawn means that the daemon has declared the target's version bad.
 	Withdrawn bool `json:"withdrawn,omitempty"`
 	// Calls counts the target's responses during the rollout of its version whose
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/follower"
@@ -75,6 +76,11 @@
 
 // handleMember answers a membership call.
 func (d *Daemon) handleMember(_ context.Context, m prober.Message) (prober.Message, error) {
+	for _, entry := range m.Members {
+		if entry.ID == d.settings.Name {
+			d.handleOwnEntry(entry)
+		}
+	}
 	reply, calls := d.prober.HandleMessage(m)
 	d.sendCalls(calls)
 	return reply, nil
@@ -153,11 +159,15 @@
 	return err
 }
 
-// handleJoin adds a daemon that has started to the members and returns all of
-// them.
+// handleJoin adds a daemon that has started to the members and returns all of them, with
+// the entry in which its target was leaving, if any.
 func (d *Daemon) handleJoin(_ context.Context, m prober.Member) ([]prober.Member, error) {
 	d.members.Merge(m)
-	return d.members.All(), nil
+	members := d.members.All()
+	if left, ok := d.leaving.get(m.ID); ok {
+		members = append(slices.Clone(members), left)
+	}
+	return members, nil
 }
 
 // joinVia sends the daemon's own record to another daemon and merges the members
@@ -168,7 +178,22 @@
 		return err
 	}
 	for _, m := range members {
+		if m.ID == d.settings.Name {
+			d.handleOwnEntry(m)
+		}
 		d.members.Merge(m)
+		if left, ok := d.leaving.get(m.ID); ok && m.Control == address && left.Incarnation < m.Incarnation {
+			d.sendCalls([]prober.Call{{
+				To: address,
+				ID: m.ID,
+				Message: prober.Message{
+					Kind:    prober.Push,
+					From:    d.settings.Name,
+					DC:      d.settings.DC,
+					Members: []prober.Member{left},
+				},
+			}})
+		}
 	}
 	return nil
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -114,6 +114,8 @@
 
 	operatorFollower, outcomeFollower *follower.Follower
 	members                           *prober.Table
+	// startIncarnation is the first incarnation of the daemon's own entry.
+	startIncarnation uint64
 	prober           *prober.Prober
 	client           *linker.Client
 	control          *linker.Server
@@ -154,6 +156,9 @@
 	// before any announcement of that instance.
 	unannouncedLeaves map[string]time.Time
 
+	// leaving holds the members whose targets were leaving.
+	leaving leavingMembers
+
 	// peerAddresses holds control addresses by daemon name, including those of
 	// daemons that are gone. peerAddressesMu guards it.
 	peerAddressesMu sync.Mutex
@@ -268,6 +273,7 @@
 		membersChanged:    make(chan struct{}, 1),
 		packed:            map[packedKey]follower.PackedCopy{},
 	}
+	d.startIncarnation = d.members.Self().Incarnation
 	d.members.Notify(d.membersChanged)
 	d.retryBudget = &dispatcher.RetryBudget{
 		Daemons: func() int { return d.members.Counts().Live() },
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -499,6 +499,42 @@
 	m.waitFor("the new process of the same name gets requests", func() bool { return strings.HasPrefix(b.sendRequest("GET", "/s/", "id", "").body, "i-martin-2") })
 }
 
+// TestLeftTargetStaysOutAfterRestart guards against a late announcement of a target that has
+// sent its leave report to the daemon before that restarted.
+func TestLeftTargetStaysOutAfterRestart(t *testing.T) {
+	m := newMesh(t)
+	a := m.addNode("zilina", "renewal", "v1")
+	b := m.addNode("martin", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	b.stopHeartbeats()
+	if err := b.backend.Deregister(t.Context(), b.settings.Listen.Operator, basePath); err != nil {
+		t.Fatal(err)
+	}
+	m.waitFor("the leave is known", func() bool { return a.gauge("member.targets") == 1 })
+	b.stop()
+	<-b.ended
+	b.start()
+	m.waitFor("the daemons have joined", func() bool { return b.gauge("plan.version") > 0 && b.gauge("member.live") == 2 })
+	if err := b.backend.Report(t.Context(), b.settings.Listen.Operator, basePath); err != nil {
+		t.Fatal(err)
+	}
+	before := len(b.backend.Arrivals())
+	for began := time.Now(); time.Since(began) < 3*heartbeat; {
+		a.sendRequest("GET", "/s/", "a", "")
+		b.sendRequest("GET", "/s/", "b", "")
+	}
+	if after := len(b.backend.Arrivals()); after != before {
+		t.Errorf("%d requests reached the target after its leave report", after-before)
+	}
+	b.backend.Crash()
+	if err := b.backend.Start(b.backend.Address(), b.backend.Instance()); err != nil {
+		t.Fatal(err)
+	}
+	b.startHeartbeats()
+	m.waitFor("the new process of the same name gets requests", func() bool { return strings.HasPrefix(b.sendRequest("GET", "/s/", "id", "").body, "i-martin-2") })
+}
+
 // TestConfigurationChanges moves a rule to another service. A truncated record or
 // one with an older version must not replace the plan.
 func TestConfigurationChanges(t *testing.T) {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -150,6 +150,7 @@
 		Slots:     a.Slots,
 		Draining:  a.Draining,
 		Instance:  a.Instance,
+		StartedAt: startedAt(a.StartTime),
 		Withdrawn: d.foundBad(a.Service, a.Version),
 	}
 	if known := d.members.Self().Target; known != nil && known.Version == next.Version {
@@ -159,6 +160,14 @@
 	d.publishTarget(&next)
 }
 
+// startedAt returns a time in Unix milliseconds, or 0 if it is unknown.
+func startedAt(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
 // publishTarget sends the target's state to the members if it has changed. A nil
 // state means that there is no target.
 func (d *Daemon) publishTarget(next *prober.Target) {
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -211,6 +211,7 @@
 		services:  map[string]*serviceView{},
 	}
 	members := d.members.All()
+	d.leaving.record(members)
 	serving := map[string][]prober.Member{}
 	for _, m := range members {
 		if m.Serves() {
