sidecar: test that a paused writer writes no second outcome

Reported by operators of similar systems: a paused process acted on a permission that had run out, and around a hand-over both acted. The only writes that daemons hand over to each other are the outcomes of rollouts. They are written by compare-and-swap on the record's version, so a writer that was paused gets a conflict.

--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 	"github.com/coltsfootlane/coltsfootlane/internal/shifter"
+	"github.com/coltsfootlane/coltsfootlane/internal/storer"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 )
 
@@ -329,3 +331,50 @@
 		t.Error("a version five times as slow as the old one is not found bad")
 	}
 }
+
+// outcomeStore keeps one record of an outcome, which PutIf writes by its version.
+type outcomeStore struct {
+	version uint64
+	value   string
+	writes  int
+}
+
+func (s *outcomeStore) putIf(_ context.Context, _ string, value []byte, version uint64, _ storer.LeaseID) (uint64, error) {
+	if version != s.version {
+		return 0, storer.ErrConflict
+	}
+	s.version++
+	s.value = string(value)
+	s.writes++
+	return s.version, nil
+}
+
+// TestPausedWriterWritesNoOutcome guards against two outcomes of one rollout: the daemon that
+// was to write the first is paused, another one writes, and the first one goes on with what
+// it knew.
+func TestPausedWriterWritesNoOutcome(t *testing.T) {
+	var store outcomeStore
+	newWriter := func() *rolloutDaemon {
+		d := newRolloutDaemon()
+		d.platform.Store.PutIf = store.putIf
+		d.platform.Outcome = func(o shifter.Outcome) (string, []byte, error) {
+			return o.Service, []byte(fmt.Sprint(o.State)), nil
+		}
+		return d
+	}
+	write := func(d *rolloutDaemon, state shifter.State) {
+		o := shifter.Outcome{Service: rollout.Service, Version: rollout.Version, State: state}
+		waitingSince := map[outcomeKey]time.Time{}
+		s := &serviceView{rollout: &rollout}
+		d.writeOutcome(t.Context(), o, s, waitingSince)
+		d.clock.Advance(maxOutcomeWriters * writerDelay)
+		d.writeOutcome(t.Context(), o, s, waitingSince)
+	}
+	paused, other := newWriter(), newWriter()
+	write(other, shifter.RolledBack)
+	paused.clock.Advance(time.Minute)
+	write(paused, shifter.Completed)
+	if want := fmt.Sprint(shifter.RolledBack); store.writes != 1 || store.value != want {
+		t.Errorf("%d outcomes written, the last is %q, want one %q", store.writes, store.value, want)
+	}
+}
