carrier: keep links busy with bodies and reject standing queues of them

Of the time of a link of 14 Mbit/s, 34 ms a body of 60 kB, a daemon took 55 to 74 ms a body from 24 s to 28 s. After three refusals a body waits until its deadline, in order of arrival, so that once more came than fitted, all bodies waited for 2 to 3.5 s, also when as many came as fitted. Senders didn't know the queues: 3,195 refusals "link busy with bodies" in 4 s for about 1,000 uploads.

Change: the turn passes on when 16 kB are left. Daemons report the expected wait with each response, and choosers add it to a target's cost for such bodies.

Ruled out: turns that are lost (none in the log), targets left out (all nine served).

--- a/internal/carrier/body.go
+++ b/internal/carrier/body.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
+// overlapBytes is the rest of a body during which the next one is asked for, so that the
+// link does not idle until the answer to that.
+const overlapBytes = 16 << 10
+
 // bodyKey is the context key of an attempt's body.
 type bodyKey struct{}
 
@@ -33,6 +38,22 @@
 	return readAll()
 }
 
+// turnReader reads a body and ends its turn before the last overlapBytes.
+type turnReader struct {
+	io.Reader
+	left    int64
+	endTurn func()
+}
+
+// Read reads from the body.
+func (r *turnReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if r.left -= int64(n); r.left <= overlapBytes {
+		r.endTurn()
+	}
+	return n, err
+}
+
 func (b *body) endTurn() {
 	if b.release != nil {
 		b.release()
@@ -47,14 +68,13 @@
 }
 
 // AwaitBodyTurn waits until the body of the attempt in ctx may be read. It returns
-// an error with the verdict NotRun if the turn is not expected within queueTimeout
-// or if ctx ends.
-func AwaitBodyTurn(ctx context.Context, queueTimeout time.Duration) error {
+// an error with the verdict NotRun if the turn is not expected within w or if ctx ends.
+func AwaitBodyTurn(ctx context.Context, w Wait) error {
 	b, ok := ctx.Value(bodyKey{}).(*body)
 	if !ok || b.bodyLimiter == nil {
 		return nil
 	}
-	release, err := b.bodyLimiter.acquire(ctx, queueTimeout, b.maxTurn)
+	release, err := b.bodyLimiter.acquire(ctx, w, b.maxTurn)
 	b.release = release
 	return err
 }
--- a/internal/carrier/bodylimiter_test.go
+++ b/internal/carrier/bodylimiter_test.go
@@ -19,7 +19,7 @@
 func acquireAsync(ctx context.Context, l *bodyLimiter, queueTimeout time.Duration) chan func() {
 	turn := make(chan func(), 1)
 	go func() {
-		release, err := l.acquire(ctx, queueTimeout, time.Minute)
+		release, err := l.acquire(ctx, Wait{Max: queueTimeout, Standing: queueTimeout}, time.Minute)
 		if err != nil {
 			release = nil
 		}
@@ -45,7 +45,7 @@
 
 func TestTurnOrder(t *testing.T) {
 	var l bodyLimiter
-	releaseFirst, err := l.acquire(t.Context(), 0, time.Minute)
+	releaseFirst, err := l.acquire(t.Context(), Wait{}, time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -77,7 +77,7 @@
 // a limited time.
 func TestStalledSender(t *testing.T) {
 	var l bodyLimiter
-	if _, err := l.acquire(t.Context(), 0, maxBodyTurn); err != nil {
+	if _, err := l.acquire(t.Context(), Wait{}, maxBodyTurn); err != nil {
 		t.Fatal(err)
 	}
 	select {
@@ -90,10 +90,10 @@
 
 func TestLongWaitRejected(t *testing.T) {
 	l := bodyLimiter{meanTurn: 40 * time.Millisecond}
-	if _, err := l.acquire(t.Context(), 0, time.Minute); err != nil {
+	if _, err := l.acquire(t.Context(), Wait{}, time.Minute); err != nil {
 		t.Fatalf("idle limiter: error %v, want nil", err)
 	}
-	_, err := l.acquire(t.Context(), 39*time.Millisecond, time.Minute)
+	_, err := l.acquire(t.Context(), Wait{Max: 39 * time.Millisecond, Standing: time.Hour}, time.Minute)
 	if !errors.Is(err, errBodyLimit) || classifier.VerdictOf(err) != classifier.NotRun {
 		t.Errorf("error %v, want errBodyLimit with verdict NotRun", err)
 	}
@@ -111,7 +111,7 @@
 		if !NeedsBodyTurn(ctx) {
 			return &TargetResponse{Status: 200}, ReadBody(ctx)
 		}
-		if err := AwaitBodyTurn(ctx, time.Minute); err != nil {
+		if err := AwaitBodyTurn(ctx, Wait{Max: time.Minute, Standing: time.Minute}); err != nil {
 			return nil, err
 		}
 		maxReading.Store(max(maxReading.Load(), reading.Add(1)))
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -134,9 +134,13 @@
 // rejected. A non-idempotent request waits for 100 Continue whatever the size of
 // its body, because it cannot have run before the body is sent.
 func expectsContinue(a *Attempt) bool {
-	return len(a.Body) >= expectBytes || (a.Kind == matcher.NonIdempotent && len(a.Body) > 0)
+	return AwaitsTurn(len(a.Body)) || (a.Kind == matcher.NonIdempotent && len(a.Body) > 0)
 }
 
+// AwaitsTurn reports whether a body of a size is sent only when the daemon of the target
+// has a turn for it.
+func AwaitsTurn(bytes int) bool { return bytes >= expectBytes }
+
 // sendFailure returns the Failure of an attempt that the daemon has not responded
 // to in full. If bodyNotSent is set, the request has not run.
 func (c *Client) sendFailure(ctx context.Context, err error, bodyNotSent bool) error {
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -30,6 +30,7 @@
 	failureRateHeader    = "Coltsfoot-Failing"
 	faultRateHeader      = "Coltsfoot-Faulty"
 	reopenAfterHeader    = "Coltsfoot-Reopen"
+	bodyWaitHeader       = "Coltsfoot-Bodies"
 	processingTimeHeader = "Coltsfoot-Spent"
 	reasonHeader         = "Coltsfoot-Reason"
 	arrivedHeader        = "Coltsfoot-Arrived"
@@ -116,6 +117,9 @@
 	h.Set(faultRateHeader, strconv.FormatFloat(l.FaultRate, 'f', 3, 64))
 	setDurationHeader(h, serviceTimeHeader, l.ServiceTime)
 	setDurationHeader(h, reopenAfterHeader, l.ReopenAfter)
+	if l.BodyWait > 0 {
+		setDurationHeader(h, bodyWaitHeader, l.BodyWait)
+	}
 }
 
 func readLoad(h http.Header) chooser.Load {
@@ -127,6 +131,7 @@
 		FailureRate: floatHeader(h, failureRateHeader),
 		FaultRate:   floatHeader(h, faultRateHeader),
 		ReopenAfter: durationHeader(h, reopenAfterHeader),
+		BodyWait:    durationHeader(h, bodyWaitHeader),
 	}
 }
 
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -48,19 +48,22 @@
 	began := time.Now()
 	a := readAttempt(r)
 	acknowledged := false
-	b := &body{
-		readAll: func() error {
-			connection := http.NewResponseController(w)
-			if err := connection.SetReadDeadline(a.Deadline); err != nil {
-				return err
-			}
-			data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBody()))
-			if err != nil {
-				return err
-			}
-			a.Body = data
-			return connection.SetReadDeadline(time.Time{})
-		},
+	b := &body{}
+	b.readAll = func() error {
+		connection := http.NewResponseController(w)
+		if err := connection.SetReadDeadline(a.Deadline); err != nil {
+			return err
+		}
+		data, err := io.ReadAll(&turnReader{
+			Reader:  http.MaxBytesReader(w, r.Body, s.MaxBody()),
+			left:    r.ContentLength,
+			endTurn: b.endTurn,
+		})
+		if err != nil {
+			return err
+		}
+		a.Body = data
+		return connection.SetReadDeadline(time.Time{})
 	}
 	ctx := context.WithValue(r.Context(), acknowledgeKey{}, func() {
 		if !acknowledged {
@@ -82,9 +85,12 @@
 	h := w.Header()
 	setDurationHeader(h, processingTimeHeader, time.Since(began))
 	if err != nil {
-		respondFailure(w, NewFailure(err))
+		f := NewFailure(err)
+		f.Load.BodyWait = s.bodyLimiter.expectedWait()
+		respondFailure(w, f)
 		return
 	}
+	targetResponse.Load.BodyWait = s.bodyLimiter.expectedWait()
 	defer targetResponse.Release()
 	for name, values := range targetResponse.Header {
 		h[name] = values
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -85,6 +85,8 @@
 	FaultRate float64
 	// ReopenAfter is the time until the target accepts requests again, or 0.
 	ReopenAfter time.Duration
+	// BodyWait is the expected time until the daemon reads the next large body.
+	BodyWait time.Duration
 	// Lag is the part of the response time that was not spent at the target's
 	// daemon. It grows when links are saturated or daemons are short of CPU time.
 	Lag time.Duration
@@ -134,8 +136,10 @@
 // Request describes the request that a target is chosen for.
 type Request struct {
 	Rule string
-	// Bytes is the size of the request's body.
-	Bytes int
+	// Bytes is the size of the request's body. AwaitsTurn means that the target's daemon
+	// reads such bodies one after the other.
+	Bytes      int
+	AwaitsTurn bool
 	// Exclude reports whether a target must not be chosen; nil excludes none.
 	Exclude func(instance string) bool
 }
@@ -144,8 +148,8 @@
 type Choice struct {
 	Target
 	// QueueTimeout is the longest worthwhile queueing time: the difference in cost to
-	// the second-best target, plus the chosen target's expected lag. The lag is added
-	// because it has already passed when the request arrives.
+	// the second-best target, plus the chosen target's expected lag and wait for the body.
+	// The lag is added because it has already passed when the request arrives.
 	QueueTimeout time.Duration
 }
 
@@ -174,7 +178,8 @@
 		}
 	}
 	if ok {
-		choice.QueueTimeout = secondCost - cost + c.targetState(choice.Instance, now).expectedLag(now)
+		s := c.targetState(choice.Instance, now)
+		choice.QueueTimeout = secondCost - cost + s.expectedLag(now) + s.expectedBodyWait(r, now)
 	}
 	return choice, ok
 }
@@ -189,7 +194,7 @@
 	serviceTime += time.Duration(staleness * float64(c.meanServiceTime(r.Rule)-serviceTime))
 	slots := max(1, t.Slots)
 	load := max(s.inFlight, s.load.Running+s.load.Queued+s.inFlight-s.inFlightAtLoad)
-	cost := serviceTime + s.expectedLag(now)
+	cost := serviceTime + s.expectedLag(now) + s.expectedBodyWait(r, now)
 	cost += time.Duration(float64(serviceTime) * loadSlowdown * min(1, float64(load)/float64(slots)))
 	if excess := load + 1 - slots; excess > 0 {
 		cost += serviceTime * time.Duration(excess) / time.Duration(slots)
@@ -219,6 +224,15 @@
 	return time.Duration((1 - s.staleness(now)) * float64(s.lag))
 }
 
+// expectedBodyWait returns the expected time until the target's daemon reads the request's
+// body. It decreases with the age of the reported load.
+func (s *targetState) expectedBodyWait(r Request, now time.Time) time.Duration {
+	if !r.AwaitsTurn {
+		return 0
+	}
+	return time.Duration((1 - s.staleness(now)) * float64(s.load.BodyWait))
+}
+
 func (c *Chooser) meanServiceTime(rule string) time.Duration {
 	if serviceTime, ok := c.serviceTime[rule]; ok {
 		return serviceTime
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -236,3 +236,25 @@
 		t.Errorf("queue timeout %v without lag, want at most 30ms", got)
 	}
 }
+
+// TestBodyWait guards against large bodies that all go to a daemon which reads others first.
+func TestBodyWait(t *testing.T) {
+	c, clock := newChooser()
+	targets := []chooser.Target{sameZone("a"), sameZone("b")}
+	c.RecordLoad("a", "photos", chooser.Load{Slots: 4, ServiceTime: 50 * time.Millisecond, BodyWait: 200 * time.Millisecond})
+	c.RecordLoad("b", "photos", chooser.Load{Slots: 4, ServiceTime: 80 * time.Millisecond})
+	large := chooser.Request{Rule: "photos", AwaitsTurn: true}
+	if got := countPicks(c, large, targets...); got["b"] != 200 {
+		t.Errorf("large bodies went to %v, want all to b", got)
+	}
+	if got := countPicks(c, chooser.Request{Rule: "photos"}, targets...); got["a"] != 200 {
+		t.Errorf("small bodies went to %v, want all to a", got)
+	}
+	if choice, _ := c.Pick(targets[:1], large); choice.QueueTimeout < 200*time.Millisecond {
+		t.Errorf("queue timeout %v, want at least the expected wait of 200ms", choice.QueueTimeout)
+	}
+	clock.Advance(5 * time.Second)
+	if got := countPicks(c, large, targets...); got["a"] == 0 {
+		t.Errorf("large bodies went to %v 5s after the report, want some to a", got)
+	}
+}
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -135,7 +135,11 @@
 		if err := d.Gate.Check(slotRequest); err != nil {
 			return err
 		}
-		if err := carrier.AwaitBodyTurn(ctx, a.MaxWait); err != nil {
+		wait := carrier.Wait{
+			Max:      a.MaxWait,
+			Standing: time.Until(a.Objective) - d.Gate.Load(a.Rule).ServiceTime,
+		}
+		if err := carrier.AwaitBodyTurn(ctx, wait); err != nil {
 			return err
 		}
 	}
@@ -148,7 +152,7 @@
 	f := carrier.NewFailure(err)
 	f.Reported = true
 	f.Load = d.Gate.Load(a.Rule)
-	f.RetryAfter = d.Gate.RetryAfter(a.Rule)
+	f.RetryAfter = max(f.RetryAfter, d.Gate.RetryAfter(a.Rule))
 	return f
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -260,9 +260,10 @@
 func (d *Dispatcher) pickTarget(c *call, first bool) (chooser.Choice, bool) {
 	pool := d.Pool(c.service)
 	req := chooser.Request{
-		Rule:    c.rule.Name,
-		Bytes:   len(c.request.Body),
-		Exclude: func(instance string) bool { return c.excluded[instance] || (!c.mayQueue && c.busy[instance]) },
+		Rule:       c.rule.Name,
+		Bytes:      len(c.request.Body),
+		AwaitsTurn: carrier.AwaitsTurn(len(c.request.Body)),
+		Exclude:    func(instance string) bool { return c.excluded[instance] || (!c.mayQueue && c.busy[instance]) },
 	}
 	if first {
 		c.canary = len(pool.Canary) > 0 && d.useCanary(c.service, pool.Share)
