chooser: age the reported load of a target

In a large fleet an entry hears of a target rarely: one that reported a queue once was not chosen again while others were known.

Change: the reported load ages like the rest, over 5 s.

TestBusyTargetIsTriedAgain was red before.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -193,7 +193,9 @@
 	}
 	serviceTime += time.Duration(staleness * float64(c.meanServiceTime(r.Rule)-serviceTime))
 	slots := max(1, t.Slots)
-	load := max(s.inFlight, s.load.Running+s.load.Queued+s.inFlight-s.inFlightAtLoad)
+	// Without ageing, a target that was busy once would never be tried again.
+	reported := int((1 - staleness) * float64(s.load.Running+s.load.Queued))
+	load := max(s.inFlight, reported+s.inFlight-s.inFlightAtLoad)
 	cost := serviceTime + s.expectedLag(now) + s.expectedBodyWait(r, now)
 	cost += time.Duration(float64(serviceTime) * loadSlowdown * min(1, float64(load)/float64(slots)))
 	if excess := load + 1 - slots; excess > 0 {
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -258,3 +258,21 @@
 		t.Errorf("large bodies went to %v 5s after the report, want some to a", got)
 	}
 }
+
+// TestBusyTargetIsTriedAgain guards against a target that is out of use since it was busy
+// once.
+func TestBusyTargetIsTriedAgain(t *testing.T) {
+	c, clock := newChooser()
+	targets := []chooser.Target{sameZone("a"), sameZone("b")}
+	request := chooser.Request{Rule: "status"}
+	c.RecordLoad("a", "status", chooser.Load{Running: 4, Queued: 8, Slots: 4, ServiceTime: 60 * time.Millisecond})
+	c.RecordLoad("b", "status", chooser.Load{Running: 2, Slots: 4, ServiceTime: 60 * time.Millisecond})
+	if got := countPicks(c, request, targets...); got["a"] > 0 {
+		t.Errorf("picked %v, want the busy target in none", got)
+	}
+	clock.Advance(5 * time.Second)
+	c.RecordLoad("b", "status", chooser.Load{Running: 2, Slots: 4, ServiceTime: 60 * time.Millisecond})
+	if got := countPicks(c, request, targets...); got["a"] == 0 {
+		t.Errorf("picked %v 5s later, want some requests at the target that was busy", got)
+	}
+}
