--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -47,6 +47,20 @@
 	return m, ok
 }
 
+// sendLeavingEntry sends a daemon the last entry from before its restart in which its target
+// was leaving, if any.
+func (d *Daemon) sendLeavingEntry(m prober.Member) {
+	left, ok := d.leaving.get(m.ID)
+	if !ok || left.Incarnation >= m.Incarnation {
+		return
+	}
+	d.sendCalls([]prober.Call{{
+		To:      m.Control,
+		ID:      m.ID,
+		Message: d.newPush(left),
+	}})
+}
+
 // handleOwnEntry handles an entry of the daemon itself that another daemon has. If it is from
 // before a restart, and its target was leaving, that process gets no more requests.
 func (d *Daemon) handleOwnEntry(m prober.Member) {
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -103,12 +103,17 @@
 
 // pushSelf sends the daemon's own member record to the other members.
 func (d *Daemon) pushSelf(self prober.Member) {
-	d.callMembers(memberMethod, prober.Message{
+	d.callMembers(memberMethod, d.newPush(self))
+}
+
+// newPush returns the message that sends a member's entry.
+func (d *Daemon) newPush(m prober.Member) prober.Message {
+	return prober.Message{
 		Kind:    prober.Push,
-		From:    self.ID,
-		DC:      self.DC,
-		Members: []prober.Member{self},
-	})
+		From:    d.settings.Name,
+		DC:      d.settings.DC,
+		Members: []prober.Member{m},
+	}
 }
 
 // callMembers calls a method of all live members, some of them through others. It does
@@ -182,17 +187,8 @@
 			d.handleOwnEntry(m)
 		}
 		d.members.Merge(m)
-		if left, ok := d.leaving.get(m.ID); ok && m.Control == address && left.Incarnation < m.Incarnation {
-			d.sendCalls([]prober.Call{{
-				To: address,
-				ID: m.ID,
-				Message: prober.Message{
-					Kind:    prober.Push,
-					From:    d.settings.Name,
-					DC:      d.settings.DC,
-					Members: []prober.Member{left},
-				},
-			}})
+		if m.Control == address {
+			d.sendLeavingEntry(m)
 		}
 	}
 	return nil
