--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -491,12 +491,7 @@
 	if after := len(b.backend.Arrivals()); after != before {
 		t.Errorf("%d requests reached the target after its leave report", after-before)
 	}
-	b.backend.Crash()
-	if err := b.backend.Start(b.backend.Address(), b.backend.Instance()); err != nil {
-		t.Fatal(err)
-	}
-	b.startHeartbeats()
-	m.waitFor("the new process of the same name gets requests", func() bool { return strings.HasPrefix(b.sendRequest("GET", "/s/", "id", "").body, "i-martin-2") })
+	b.checkNewProcessIsUsed()
 }
 
 // TestLeftTargetStaysOutAfterRestart guards against a late announcement of a target that has
@@ -527,12 +522,21 @@
 	if after := len(b.backend.Arrivals()); after != before {
 		t.Errorf("%d requests reached the target after its leave report", after-before)
 	}
-	b.backend.Crash()
-	if err := b.backend.Start(b.backend.Address(), b.backend.Instance()); err != nil {
-		t.Fatal(err)
+	b.checkNewProcessIsUsed()
+}
+
+// checkNewProcessIsUsed restarts the node's target under its name and checks that the new
+// process gets requests.
+func (n *node) checkNewProcessIsUsed() {
+	n.mesh.t.Helper()
+	n.backend.Crash()
+	if err := n.backend.Start(n.backend.Address(), n.backend.Instance()); err != nil {
+		n.mesh.t.Fatal(err)
 	}
-	b.startHeartbeats()
-	m.waitFor("the new process of the same name gets requests", func() bool { return strings.HasPrefix(b.sendRequest("GET", "/s/", "id", "").body, "i-martin-2") })
+	n.startHeartbeats()
+	n.mesh.waitFor("the new process of the same name gets requests", func() bool {
+		return strings.HasPrefix(n.sendRequest("GET", "/s/", "id", "").body, n.backend.Instance())
+	})
 }
 
 // TestConfigurationChanges moves a rule to another service. A truncated record or
