--- a/internal/chooser/fleet_test.go
+++ b/internal/chooser/fleet_test.go
@@ -59,10 +59,10 @@
 
 type fleetTarget struct {
 	chooser.Target
-	speed           float64
-	running, queued int
-	serviceTime     time.Duration
-	queue           []func()
+	speed       float64
+	running     int
+	serviceTime time.Duration
+	queue       []func()
 }
 
 func newFleet(targets int) *fleet {
