--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -34,6 +34,9 @@
 	slots   int
 	work    time.Duration
 	address string
+	// began, if set, is called with the number of requests that began to run within the
+	// last second, when one begins.
+	began func(inLastSecond int)
 	// doubles, if set, says whether the answer to a request is sent a second time,
 	// late: where the next answer on its connection is expected.
 	doubles func(r *http.Request) bool
@@ -46,9 +49,9 @@
 	warmAt   time.Time
 	seq      int
 	silent   bool
-	// beatAt is the time of the last liveness report.
-	beatAt time.Time
-	runs   []run
+	// lastReport is the last liveness report.
+	lastReport []byte
+	runs       []run
 }
 
 // addBackend prepares a backend.
@@ -173,12 +176,28 @@
 	b.free <- struct{}{}
 	x.at = time.Now()
 	b.keep(x)
+	if b.began != nil {
+		b.began(b.recent())
+	}
 	time.Sleep(b.work)
 	<-b.free
 	content := fmt.Appendf(nil, "%s ran %s", b.name, id)
 	return b.format(http.StatusOK, id, content, http.Header{names.StampHeader: {"stamp." + b.name + "." + id}})
 }
 
+// recent returns the number of requests that began to run within the last second.
+func (b *backend) recent() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, x := range b.runs {
+		if x.rejected == 0 && time.Since(x.at) < time.Second {
+			n++
+		}
+	}
+	return n
+}
+
 // keep records a run or a rejection.
 func (b *backend) keep(x run) {
 	b.mu.Lock()
@@ -222,7 +241,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.seq++
-	b.beatAt = time.Now()
 	data, err := json.Marshal(map[string]any{
 		"service":        b.service,
 		"address":        b.address,
@@ -237,6 +255,7 @@
 	if err != nil {
 		panic(err)
 	}
+	b.lastReport = data
 	return data
 }
 
