--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -9,9 +9,11 @@
 
 // Figures of the case "memory".
 const (
-	uploads      = 3
-	uploadBytes  = 36 << 20
-	uploadChunk  = 64 << 10
+	uploads     = 6
+	uploadBytes = 20 << 20
+	uploadChunk = 64 << 10
+	// rounds is the number of uploads of each consumer, one after the other.
+	rounds       = 3
 	linkBytes    = 124_000_000 // less than 1,000 Mbit/s
 	uploadBudget = 1000 * time.Millisecond
 	memoryPoll   = 5 * time.Millisecond
@@ -75,10 +77,13 @@
 		if !w.trouble {
 			rate = linkBytes
 		}
-		group.Go(func() { c.upload("/upload/"+c.name, c.nextID(), rate) })
+		group.Go(func() {
+			for range rounds {
+				c.upload("/upload/"+c.name, c.nextID(), rate)
+			}
+		})
 		if !w.trouble {
 			group.Wait()
-			time.Sleep(time.Second)
 		}
 	}
 	group.Wait()
