--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -49,6 +49,7 @@
 	w.storeAddress = w.freeAddress()
 	ln, err := net.Listen("tcp", w.storeAddress)
 	if err != nil {
+		_ = os.RemoveAll(dir)
 		return nil, err
 	}
 	w.storeServer = &http.Server{Handler: w.store.Handler(names.BasePath)}
