sidecar: departures of targets are stored before they are acknowledged

Cause: that a process has left was kept in the memory of daemons only: of its own, and of the others, which tell a daemon that restarts. When all restart at once nobody has it.

Change: a daemon writes the departure to the store and acknowledges the report after that; if it cannot be stored, the report gets 503 and the target is out of use all the same. A daemon that starts holds announcements of a running target until it has read its departures. If the store cannot be read, it believes an announcement that follows another of the same process, because a process that has left sends no more; once the store can be read, a departure there is applied. The key has no lease, since leases may end while the store is down; relays remove keys that are ten minutes old.

Ruled out: a lease (see above); to ask the other daemons (none has it); to delay the first use of every target (it would cost capacity at each start).

--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -77,13 +77,10 @@
 	if d.endedProcesses[process] {
 		return
 	}
-	d.endedProcesses[process] = true
 	d.log.Info("target was leaving before the restart", "instance", t.Instance)
-	last := d.lastAnnouncement
-	if last.Instance == process.instance && last.StartTime.Equal(process.startTime) && !last.Draining {
-		d.handleLeave(Announcement{
-			Instance: t.Instance,
-			Leaving:  true,
-		}, last)
-	}
+	d.endedProcesses[process] = true
+	d.endProcesses(departure{
+		Instance: t.Instance,
+		Start:    t.StartedAt,
+	})
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -75,9 +75,9 @@
 type Platform struct {
 	Store storer.Platform
 	// OperatorPrefix is the key prefix of the operators' records, OutcomePrefix
-	// that of the outcomes of rollouts, and DaemonPrefix that of the daemons'
-	// addresses.
-	OperatorPrefix, OutcomePrefix, DaemonPrefix string
+	// that of the outcomes of rollouts, DaemonPrefix that of the daemons'
+	// addresses, and DeparturePrefix that of the departures of their targets.
+	OperatorPrefix, OutcomePrefix, DaemonPrefix, DeparturePrefix string
 	// DecodeOperator and DecodeOutcomes decode the items under those prefixes. They
 	// skip items that cannot be decoded and return an error for each.
 	DecodeOperator func(items []storer.Item) (Declaration, []error)
@@ -147,14 +147,22 @@
 	baseline    map[string]string
 	badRollouts map[shifter.Rollout]bool
 
-	// announcementMu guards the fields down to unannouncedLeaves.
+	// announcementMu guards the fields down to departuresUnreadable.
 	announcementMu   sync.Mutex
 	lastAnnouncement lastAnnouncement
 	// endedProcesses holds the processes that have sent a leave report.
 	endedProcesses map[targetProcess]bool
-	// unannouncedLeaves holds, by instance, the time of a leave report that arrived
-	// before any announcement of that instance.
-	unannouncedLeaves map[string]time.Time
+	// leaves holds, by instance, the latest start of processes that have left without an
+	// announcement that this daemon knows.
+	leaves map[string]time.Time
+	// heldAnnouncement is the last announcement of a running target that arrived before
+	// the departures in the store were known. departuresUnreadable means that reading them
+	// has failed.
+	heldAnnouncement                      lastAnnouncement
+	departuresKnown, departuresUnreadable bool
+
+	// departures holds the local target's departures.
+	departures departureLog
 
 	// leaving holds the members whose targets were leaving.
 	leaving leavingMembers
@@ -256,22 +264,23 @@
 			Control:     s.ControlAddress(),
 			Incarnation: uint64(o.Clock.Now().UnixMilli()),
 		}),
-		client:            linker.NewClient(s.Key, controlTimeout),
-		control:           linker.NewServer(s.Key),
-		chooser:           chooser.New(o.Clock),
-		trials:            map[uint64]shifter.Trial{},
-		results:           map[uint64]*shifter.Results{},
-		baseline:          map[string]string{},
-		badRollouts:       map[shifter.Rollout]bool{},
-		endedProcesses:    map[targetProcess]bool{},
-		unannouncedLeaves: map[string]time.Time{},
-		peerAddresses:     map[string]string{},
-		memberCallSem:     make(chan struct{}, maxMemberCalls),
-		relayUpdates:      map[string]time.Time{},
-		relayUpdateDue:    make(chan struct{}, 1),
-		storeRecovered:    make(chan struct{}, 1),
-		membersChanged:    make(chan struct{}, 1),
-		packed:            map[packedKey]follower.PackedCopy{},
+		client:         linker.NewClient(s.Key, controlTimeout),
+		control:        linker.NewServer(s.Key),
+		chooser:        chooser.New(o.Clock),
+		trials:         map[uint64]shifter.Trial{},
+		results:        map[uint64]*shifter.Results{},
+		baseline:       map[string]string{},
+		badRollouts:    map[shifter.Rollout]bool{},
+		endedProcesses: map[targetProcess]bool{},
+		leaves:         map[string]time.Time{},
+		departures:     departureLog{due: make(chan struct{}, 1)},
+		peerAddresses:  map[string]string{},
+		memberCallSem:  make(chan struct{}, maxMemberCalls),
+		relayUpdates:   map[string]time.Time{},
+		relayUpdateDue: make(chan struct{}, 1),
+		storeRecovered: make(chan struct{}, 1),
+		membersChanged: make(chan struct{}, 1),
+		packed:         map[packedKey]follower.PackedCopy{},
 	}
 	d.startIncarnation = d.members.Self().Incarnation
 	d.members.Notify(d.membersChanged)
@@ -430,7 +439,7 @@
 			}
 		})
 	}
-	for _, run := range []func(context.Context){d.operatorFollower.Run, d.outcomeFollower.Run, d.runRelay, d.gossip, d.runRefresh, d.register, d.pollPeers, d.writeOutcomes, d.watchTarget} {
+	for _, run := range []func(context.Context){d.operatorFollower.Run, d.outcomeFollower.Run, d.runRelay, d.gossip, d.runRefresh, d.register, d.pollPeers, d.writeOutcomes, d.watchTarget, d.writeDepartures, d.expireDepartures} {
 		group.Go(func() { run(runCtx) })
 	}
 	d.log.Info("daemon started", "service", d.sidecar.Service, "traffic", d.settings.Listen.Traffic, "admit", d.settings.Listen.Admit)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -525,6 +525,42 @@
 	b.checkNewProcessIsUsed()
 }
 
+// TestLeftTargetStaysOutAfterRestartOfAll guards against a target in use again after its leave
+// report was acknowledged and all daemons, which alone knew of it, were restarted.
+func TestLeftTargetStaysOutAfterRestartOfAll(t *testing.T) {
+	m := newMesh(t)
+	a := m.addNode("zilina", "renewal", "v1")
+	b := m.addNode("martin", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	b.stopHeartbeats()
+	if err := b.backend.Deregister(t.Context(), b.settings.Listen.Operator, basePath); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range m.nodes {
+		n.stop()
+	}
+	for _, n := range m.nodes {
+		<-n.ended
+	}
+	for _, n := range m.nodes {
+		n.start()
+	}
+	m.waitFor("the daemons have joined", func() bool { return b.gauge("plan.version") > 0 && b.gauge("member.live") == 2 })
+	if err := b.backend.Report(t.Context(), b.settings.Listen.Operator, basePath); err != nil {
+		t.Fatal(err)
+	}
+	before := len(b.backend.Arrivals())
+	for began := time.Now(); time.Since(began) < 3*heartbeat; {
+		a.sendRequest("GET", "/s/", "a", "")
+		b.sendRequest("GET", "/s/", "b", "")
+	}
+	if after := len(b.backend.Arrivals()); after != before {
+		t.Errorf("%d requests reached the target after its leave report", after-before)
+	}
+	b.checkNewProcessIsUsed()
+}
+
 // checkNewProcessIsUsed restarts the node's target under its name and checks that the new
 // process gets requests.
 func (n *node) checkNewProcessIsUsed() {
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -45,19 +45,33 @@
 		return
 	}
 	d.handleAnnouncement(a)
+	if (a.Draining || a.Leaving) && !d.departures.wait(r.Context(), departureTimeout) {
+		d.log.Warn("report not acknowledged: departure not stored", "instance", a.Instance)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write([]byte("{}"))
 }
 
-// handleAnnouncement applies an announcement unless a later one is known.
+// handleAnnouncement handles an announcement.
 func (d *Daemon) handleAnnouncement(a Announcement) {
 	d.announcementMu.Lock()
 	defer d.announcementMu.Unlock()
-	last := d.lastAnnouncement
-	if a.Leaving {
-		d.handleLeave(a, last)
-		return
+	switch {
+	case a.Leaving:
+		d.handleLeave(a, d.lastAnnouncement)
+	case a.Draining || d.isVerified(a):
+		d.handleRunning(a)
+	default:
+		d.log.Info("announcement held until departures are known", "instance", a.Instance, "sequence", a.Sequence)
 	}
+}
+
+// handleRunning applies an announcement of a running process unless a later one is known.
+// The caller holds announcementMu.
+func (d *Daemon) handleRunning(a Announcement) {
+	last := d.lastAnnouncement
 	if d.isStale(a, last.Announcement) {
 		d.log.Info("stale announcement ignored", "instance", a.Instance, "sequence", a.Sequence, "known", last.Instance)
 		return
@@ -69,6 +83,9 @@
 	if last.Instance != a.Instance || last.StartTime != a.StartTime || last.Draining != a.Draining || last.expired {
 		d.log.Info("target announced", "instance", a.Instance, "version", a.Version, "slots", a.Slots, "draining", a.Draining, "cold", a.WarmupLeft)
 	}
+	if a.Draining {
+		d.addDeparture(a.Instance, startedAt(a.StartTime))
+	}
 	d.applyTarget(a)
 }
 
@@ -88,15 +105,15 @@
 }
 
 // isFromEndedProcess reports whether the process that sent an announcement has
-// already sent a leave report. If that report arrived before the first announcement,
-// isFromEndedProcess adds the process to endedProcesses. A process that starts later
-// under the same name is not affected.
+// already sent a leave report. If that is known by the instance only, isFromEndedProcess
+// adds the process to endedProcesses. A process that starts later under the same name is
+// not affected.
 func (d *Daemon) isFromEndedProcess(a Announcement) bool {
 	s := targetProcess{
 		instance:  a.Instance,
 		startTime: a.StartTime,
 	}
-	if left, ok := d.unannouncedLeaves[a.Instance]; ok && !a.StartTime.After(left) {
+	if until, ok := d.leaves[a.Instance]; ok && !a.StartTime.After(until) {
 		d.endedProcesses[s] = true
 	}
 	return d.endedProcesses[s]
@@ -105,16 +122,29 @@
 // handleLeave handles a target's leave report.
 func (d *Daemon) handleLeave(a Announcement, last lastAnnouncement) {
 	if last.Instance != a.Instance {
-		d.unannouncedLeaves[a.Instance] = d.clock.Now()
+		now := d.clock.Now()
+		d.leaves[a.Instance] = now
+		d.addDeparture(a.Instance, now.UnixMilli())
 		d.log.Info("unannounced target leaves", "instance", a.Instance, "known", last.Instance)
 		return
 	}
 	d.endedProcesses[targetProcess{instance: last.Instance, startTime: last.StartTime}] = true
 	d.lastAnnouncement.Draining = true
+	d.addDeparture(last.Instance, startedAt(last.StartTime))
 	d.log.Info("target leaves", "instance", a.Instance)
 	d.applyTarget(d.lastAnnouncement.Announcement)
 }
 
+// addDeparture records that the processes of an instance which started until a time, in
+// Unix milliseconds, leave.
+func (d *Daemon) addDeparture(instance string, start int64) {
+	d.departures.add(departure{
+		Instance: instance,
+		Start:    start,
+		Time:     d.clock.Now().UnixMilli(),
+	})
+}
+
 // handleLeavingResponse handles a response of the target which says that it shuts down.
 // It has the effect of a leave report: the process gets no further requests, even if it
 // still announces itself as ready.
@@ -191,10 +221,16 @@
 	return defaultWarmupRate
 }
 
+// announcementExpiry returns the time without an announcement after which a target is
+// assumed to be gone.
+func (d *Daemon) announcementExpiry() time.Duration {
+	return maxMissedHeartbeats * d.sidecar.Heartbeat.Duration
+}
+
 // watchTarget removes the target from the membership once its announcements have
 // stopped.
 func (d *Daemon) watchTarget(ctx context.Context) {
-	expiry := maxMissedHeartbeats * d.sidecar.Heartbeat.Duration
+	expiry := d.announcementExpiry()
 	for ctx.Err() == nil {
 		sleep(ctx, d.sidecar.Heartbeat.Duration)
 		d.announcementMu.Lock()
