sidecar: a version that was rolled back stays out after a restart

Callers: once the operators had withdrawn the order of a rollout that was rolled back, and all daemons had restarted, the bad version served all requests if it had more targets than the old one.

Cause: the version that serves requests outside a rollout was kept in memory, and elected by the number of targets after a restart. The recorded outcome of the last rollout was looked at only while its order stood.

Change: the election asks the recorded outcome first: a completed version is elected while it has targets, and one that was rolled back only if there is no other. A choice between several versions isn't final until the outcomes are known.

TestRolledBackVersionStaysOutAfterRestart failed before in both of its cases (v2 instead of v1, v1 instead of v2), and passes now.

--- a/internal/sidecar/moves_test.go
+++ b/internal/sidecar/moves_test.go
@@ -378,3 +378,34 @@
 		t.Errorf("%d outcomes written, the last is %q, want one %q", store.writes, store.value, want)
 	}
 }
+
+// TestRolledBackVersionStaysOutAfterRestart guards against a bad version that is in use again
+// once the operators have withdrawn the order of its rollout and all daemons have restarted. Its
+// targets are more than those of the old version.
+func TestRolledBackVersionStaysOutAfterRestart(t *testing.T) {
+	for name, test := range map[string]struct {
+		state       shifter.State
+		moreTargets string
+		want        string
+	}{
+		"rolled back": {state: shifter.RolledBack, moreTargets: "v2", want: "v1"},
+		"completed":   {state: shifter.Completed, moreTargets: "v1", want: "v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newRolloutDaemon()
+			d.putTarget("zilina-3", "zilina", test.moreTargets, shifter.Totals{})
+			d.stateMu.Lock()
+			defer d.stateMu.Unlock()
+			clear(d.baseline) // as after a start
+			d.applyDeclaration(Declaration{Plan: &matcher.Plan{Services: map[string]matcher.Service{"renewal": {}}}})
+			d.setOutcomes(map[string]shifter.Outcome{"renewal": {
+				Service: "renewal",
+				Version: "v2",
+				State:   test.state,
+			}})
+			if got := d.view.Load().services["renewal"].baseline; got != test.want {
+				t.Errorf("requests go to version %s after the restart, want %s", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -133,7 +133,8 @@
 	// stateMu guards the fields down to badRollouts.
 	stateMu  sync.Mutex
 	declared Declaration
-	// settled holds the recorded outcomes of rollouts, by service.
+	// settled holds the recorded outcomes of rollouts, by service. It is nil until they are
+	// known.
 	settled map[string]shifter.Outcome
 	// countsPublished is the Unix time at which the target's counts were last
 	// published, in nanoseconds.
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -156,10 +156,18 @@
 	}
 	d.stateMu.Lock()
 	defer d.stateMu.Unlock()
-	d.settled = outcomes
 	for _, o := range outcomes {
 		d.log.Info("rollout outcome received", "service", o.Service, "version", o.Version, "state", o.State, "revision", o.Item.Version)
 	}
+	d.setOutcomes(outcomes)
+}
+
+// setOutcomes replaces the recorded outcomes. The caller holds stateMu.
+func (d *Daemon) setOutcomes(outcomes map[string]shifter.Outcome) {
+	d.settled = outcomes
+	if outcomes == nil {
+		d.settled = map[string]shifter.Outcome{}
+	}
 	d.rebuild()
 }
 
@@ -295,8 +303,7 @@
 
 // baselineOf returns the baseline version of a service. The baseline changes in two
 // cases only. When a rollout completes, its version becomes the baseline. When no
-// target of the baseline is left, the version with the most targets, other than the
-// rollout's, becomes the baseline.
+// target of the baseline is left, another version becomes the baseline.
 func (d *Daemon) baselineOf(service string, s *serviceView, members []prober.Member) string {
 	if s.completed {
 		d.baseline[service] = s.rollout.Version
@@ -312,14 +319,30 @@
 	if counts[baseline] > 0 {
 		return baseline
 	}
+	baseline = d.electBaseline(service, counts)
+	// Until the outcomes are known, a version that was rolled back may be elected.
+	if counts[baseline] > 0 && (d.settled != nil || len(counts) == 1) {
+		d.baseline[service] = baseline
+	}
+	return baseline
+}
+
+// electBaseline returns the baseline of a service among versions with their numbers of
+// targets: the version to which the last rollout was completed, or else the one with the
+// most targets. A version that was rolled back is elected only if there is no other.
+func (d *Daemon) electBaseline(service string, counts map[string]int) (baseline string) {
+	last := d.settled[service]
+	if last.State == shifter.Completed && counts[last.Version] > 0 {
+		return last.Version
+	}
 	for version, n := range counts {
+		if last.State == shifter.RolledBack && last.Version == version && len(counts) > 1 {
+			continue
+		}
 		if n > counts[baseline] || (n == counts[baseline] && version < baseline) {
 			baseline = version
 		}
 	}
-	if counts[baseline] > 0 {
-		d.baseline[service] = baseline
-	}
 	return baseline
 }
 
