admitter: a restarted daemon doesn't know what a cold target has got

Callers: a daemon that was killed and started again admitted a whole second's worth of requests to its cold target at once, beside what it had admitted just before. Targets crash at a rate well above what they can take while cold.

Cause: the times of the last admissions are kept in memory, and a new process took their absence for none.

Change: the gate has the time from which it knows its admissions, the start of the process, and assumes before that as many as the rate allows. So a cold target gets its first request up to a second after its daemon's start.

TestColdRateAfterRestart: 10 requests in a second where 5 are allowed before, at most 5 now.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -98,6 +98,9 @@
 	// ServesUntil returns the time at which the process ends, or the zero time if that is
 	// not known. Requests with a later deadline are rejected.
 	ServesUntil func() time.Time
+	// Since is the time from which the gate knows the requests that were admitted. It is
+	// later than the target's start if the process has restarted.
+	Since time.Time
 
 	mu     sync.Mutex
 	target *Target
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -114,6 +114,34 @@
 	}
 }
 
+// TestColdRateAfterRestart guards against a cold target that gets more requests in a second
+// than it can take because its daemon has restarted and does not know what it has admitted.
+func TestColdRateAfterRestart(t *testing.T) {
+	cold := target()
+	cold.WarmupLeft = 3 * time.Second
+	cold.Slots = 100
+	before := newHarness(cold)
+	n := 0
+	for before.acquire(before.newRequest()) == nil {
+		n++
+	}
+	after := newHarness(cold)
+	after.Since = after.clock.Now()
+	for range 99 {
+		if after.acquire(after.newRequest()) == nil {
+			n++
+		}
+		after.clock.Advance(10 * time.Millisecond)
+	}
+	if n > 5 {
+		t.Errorf("%d requests in a second around the restart, want at most 5", n)
+	}
+	after.clock.Advance(100 * time.Millisecond)
+	if err := after.acquire(after.newRequest()); err != nil {
+		t.Errorf("a second after the restart: error %v, want nil", err)
+	}
+}
+
 // TestColdRate checks that a cold target gets no more requests than its ColdRate
 // in any second.
 func TestColdRate(t *testing.T) {
--- a/internal/admitter/rate.go
+++ b/internal/admitter/rate.go
@@ -39,15 +39,18 @@
 }
 
 // rateWait returns the time until the target can take the next request, or 0 if there is
-// no bound.
+// no bound. The target may have got as many requests as it can take until Since.
 func (g *Gate) rateWait(now time.Time) time.Duration {
 	rate := g.rate(now)
-	if rate == 0 || float64(len(g.admittedAt)) < rate {
+	if rate == 0 {
 		return 0
 	}
 	allowed := int(math.Ceil(rate))
-	window := rateDuration(allowed, rate)
-	return max(0, g.admittedAt[len(g.admittedAt)-allowed].Add(window).Sub(now))
+	last := g.Since
+	if float64(len(g.admittedAt)) >= rate {
+		last = g.admittedAt[len(g.admittedAt)-allowed]
+	}
+	return max(0, last.Add(rateDuration(allowed, rate)).Sub(now))
 }
 
 // rateError returns the rejection of a request that would exceed the rate.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -294,6 +294,7 @@
 		Clock:       o.Clock,
 		Closed:      d.admissionClosed,
 		ServesUntil: d.servesUntil,
+		Since:       o.Clock.Now(),
 	}
 	d.prober = prober.New(prober.Options{
 		Table:     d.members,
