sidecar: a daemon that starts reads the quarantine from others

Callers: a request that crashes targets was refused everywhere, until a daemon restarted: its target ran the request again and crashed, with the requests of other callers. A rolling restart gave every target back to it.

Cause: the reports of crashes are sent when they happen, and a daemon that starts later doesn't get them.

Change: after its start a daemon asks two others, of those that have run for longest, for their suspects, with the time until each expires.

When all daemons restart at once the quarantine is still lost, and two more targets crash.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -8,6 +8,9 @@
 package quarantiner
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -234,17 +237,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, fingerprint := range r.Fingerprints[:min(len(r.Fingerprints), MaxSuspectsPerDeath)] {
-		s := q.suspect(fingerprint)
+		s := q.addSuspect(fingerprint)
 		if s == nil {
-			if !q.makeRoom() || len(fingerprint) > MaxFingerprint {
-				continue
-			}
-			s = &suspect{crashes: map[string]bool{}}
-			q.suspects[fingerprint] = s
-		}
-		if len(s.crashes) < crashesToQuarantine {
-			s.crashes[r.Death] = true
+			continue
 		}
+		s.addCrash(r.Death)
 		s.expires = q.clock.Now().Add(QuarantineTTL)
 		if len(s.crashes) >= crashesToQuarantine {
 			quarantined = append(quarantined, fingerprint)
@@ -253,6 +250,82 @@
 	return quarantined
 }
 
+// maxSuspicions is the maximum number of suspects that Suspicions returns.
+const maxSuspicions = 1024
+
+// Suspicion is a suspect as daemons tell it to one that has started.
+type Suspicion struct {
+	Fingerprint string `json:"print"`
+	// Crashes holds the IDs of the crashes at which the request was in flight.
+	Crashes []string `json:"deaths"`
+	// TTL is the time until the suspicion expires, in milliseconds.
+	TTL int64 `json:"ttl"`
+}
+
+// Suspicions returns the suspects, those with most crashes first, at most maxSuspicions.
+func (q *Quarantiner) Suspicions() []Suspicion {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	var list []Suspicion
+	for fingerprint, s := range q.suspects {
+		if !s.expires.After(now) {
+			continue
+		}
+		list = append(list, Suspicion{
+			Fingerprint: fingerprint,
+			Crashes:     slices.Sorted(maps.Keys(s.crashes)),
+			TTL:         s.expires.Sub(now).Milliseconds(),
+		})
+	}
+	slices.SortFunc(list, func(a, b Suspicion) int {
+		return cmp.Or(len(b.Crashes)-len(a.Crashes), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return list[:min(len(list), maxSuspicions)]
+}
+
+// AddSuspicions adds the suspects of another daemon and returns the fingerprints that are
+// quarantined.
+func (q *Quarantiner) AddSuspicions(list []Suspicion) (quarantined []string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, other := range list[:min(len(list), maxSuspicions)] {
+		s := q.addSuspect(other.Fingerprint)
+		if s == nil {
+			continue
+		}
+		for _, crash := range other.Crashes {
+			s.addCrash(crash)
+		}
+		ttl := time.Duration(min(other.TTL, QuarantineTTL.Milliseconds())) * time.Millisecond
+		if expires := q.clock.Now().Add(ttl); expires.After(s.expires) {
+			s.expires = expires
+		}
+		if len(s.crashes) >= crashesToQuarantine {
+			quarantined = append(quarantined, other.Fingerprint)
+		}
+	}
+	return quarantined
+}
+
+// addSuspect returns the suspect with a fingerprint, which it adds if necessary. It returns
+// nil if there is no room or the fingerprint is invalid. The caller holds the lock.
+func (q *Quarantiner) addSuspect(fingerprint string) *suspect {
+	s := q.suspect(fingerprint)
+	if s == nil && len(fingerprint) <= MaxFingerprint && q.makeRoom() {
+		s = &suspect{crashes: map[string]bool{}}
+		q.suspects[fingerprint] = s
+	}
+	return s
+}
+
+// addCrash adds a crash unless there are enough for a quarantine.
+func (s *suspect) addCrash(id string) {
+	if len(s.crashes) < crashesToQuarantine && len(id) <= MaxFingerprint {
+		s.crashes[id] = true
+	}
+}
+
 // makeRoom removes expired suspects if maxSuspects are stored. It reports
 // whether one more can be stored.
 func (q *Quarantiner) makeRoom() bool {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,6 +64,64 @@
 	}
 }
 
+// TestSuspicionsKeepTheirExpiry guards against a quarantine that never ends because daemons
+// that restart pass it on.
+func TestSuspicionsKeepTheirExpiry(t *testing.T) {
+	clock := timekeeper.NewVirtual(start)
+	before := quarantiner.New(clock)
+	for _, death := range []string{"1", "2"} {
+		before.AddReport(quarantiner.Report{
+			Death:        death,
+			Fingerprints: []string{"crash"},
+		})
+	}
+	clock.Advance(quarantiner.QuarantineTTL / 2)
+	after := quarantiner.New(clock)
+	if got := after.AddSuspicions(before.Suspicions()); !slices.Equal(got, []string{"crash"}) {
+		t.Errorf("AddSuspicions() = %v, want [crash]", got)
+	}
+	if _, err := after.Admit("crash"); !errors.Is(err, quarantiner.ErrQuarantined) {
+		t.Errorf("after a restart: error %v, want ErrQuarantined", err)
+	}
+	clock.Advance(quarantiner.QuarantineTTL / 2)
+	if _, err := after.Admit("crash"); err != nil {
+		t.Errorf("after the quarantine has expired: error %v, want nil", err)
+	}
+}
+
+// TestSuspicionsAreBounded checks the bounds of what another daemon sends, and that the
+// quarantined requests come first.
+func TestSuspicionsAreBounded(t *testing.T) {
+	q := quarantiner.New(timekeeper.NewVirtual(start))
+	for i := range 5000 {
+		q.AddReport(quarantiner.Report{
+			Death:        fmt.Sprint(i),
+			Fingerprints: []string{fmt.Sprint("once-", i)},
+		})
+		q.AddReport(quarantiner.Report{
+			Death:        fmt.Sprint("twice-", i),
+			Fingerprints: []string{"twice"},
+		})
+	}
+	list := q.Suspicions()
+	if len(list) != 1024 || list[0].Fingerprint != "twice" || len(list[0].Crashes) != 2 {
+		t.Errorf("%d suspicions, first %v; want 1024, and first the quarantined request", len(list), list[0])
+	}
+	long := strings.Repeat("x", quarantiner.MaxFingerprint+1)
+	other := quarantiner.New(timekeeper.NewVirtual(start))
+	other.AddSuspicions([]quarantiner.Suspicion{
+		{Fingerprint: long, Crashes: []string{"1", "2"}, TTL: 1000},
+		{Fingerprint: "long crash", Crashes: []string{long}, TTL: 1000},
+		{Fingerprint: "expired", Crashes: []string{"1", "2"}, TTL: -1},
+		{Fingerprint: "overflow", Crashes: []string{"1"}, TTL: 1 << 62},
+	})
+	for _, s := range other.Suspicions() {
+		if s.Fingerprint == long || s.Fingerprint == "expired" || slices.Contains(s.Crashes, long) || s.TTL > quarantiner.QuarantineTTL.Milliseconds() {
+			t.Errorf("suspicion %v was taken", s)
+		}
+	}
+}
+
 func TestRefusedRequestsDoNotHideCrashAfterRestart(t *testing.T) {
 	clock := timekeeper.NewVirtual(start)
 	q := quarantiner.New(clock)
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -1,12 +1,15 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -15,6 +18,7 @@
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
+	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 	"github.com/coltsfootlane/coltsfootlane/internal/quarantiner"
 )
 
@@ -111,6 +115,76 @@
 	return struct{}{}, nil
 }
 
+// Parameters of reading the quarantine after the start.
+const (
+	// maxQuarantineSources is the number of daemons whose quarantine is read.
+	maxQuarantineSources = 2
+	// oldestDaemons is the number of daemons among which they are chosen at random, so that
+	// the daemons of a large fleet that start together do not all call the same ones.
+	oldestDaemons = 16
+	// quarantinePollPeriod is the interval of looking for daemons to read it from, and
+	// quarantineRetryPause the pause after a failed call.
+	quarantinePollPeriod = 50 * time.Millisecond
+	quarantineRetryPause = 500 * time.Millisecond
+)
+
+// readQuarantine reads the suspected and quarantined requests from other daemons after the
+// start, from those that have run for longest. It ends when maxQuarantineSources of them have
+// answered, or when what they knew at the start has expired.
+func (d *Daemon) readQuarantine(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quarantiner.QuarantineTTL)
+	defer cancel()
+	answered := map[string]bool{}
+	for ctx.Err() == nil {
+		pause := quarantinePollPeriod
+		for _, m := range d.quarantineSources() {
+			if answered[m.ID] {
+				continue
+			}
+			if err := d.readQuarantineOf(ctx, m); err != nil {
+				d.log.Debug("quarantine not read", "peer", m.ID, "err", err)
+				pause = quarantineRetryPause
+				continue
+			}
+			answered[m.ID] = true
+			if len(answered) >= maxQuarantineSources {
+				return
+			}
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// quarantineSources returns the live daemons that have run for longest, in random order. The
+// incarnation of a daemon begins with the time of its start.
+func (d *Daemon) quarantineSources() []prober.Member {
+	members := slices.DeleteFunc(slices.Clone(d.members.All()), func(m prober.Member) bool {
+		return m.ID == d.settings.Name || m.Status > prober.Suspect
+	})
+	slices.SortFunc(members, func(a, b prober.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	members = members[:min(len(members), oldestDaemons)]
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members
+}
+
+// readQuarantineOf reads the suspected and quarantined requests of another daemon.
+func (d *Daemon) readQuarantineOf(ctx context.Context, m prober.Member) error {
+	var list []quarantiner.Suspicion
+	if err := d.client.Call(ctx, m.Control, quarantineMethod, struct{}{}, &list); err != nil {
+		return err
+	}
+	quarantined := d.quarantine.AddSuspicions(list)
+	if len(list) > 0 {
+		d.log.Info("quarantine read", "peer", m.ID, "suspects", len(list), "quarantined", len(quarantined))
+	}
+	return nil
+}
+
+// handleQuarantine returns the suspected and quarantined requests.
+func (d *Daemon) handleQuarantine(context.Context, struct{}) ([]quarantiner.Suspicion, error) {
+	return d.quarantine.Suspicions(), nil
+}
+
 // isListening reports whether the target may still be running. It returns false
 // only if the connection is refused. A target that exits may still listen when its
 // connections are closed.
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -20,6 +20,7 @@
 	withdrawMethod    = "withdraw"
 	relayUpdateMethod = "news"
 	crashMethod       = "crash"
+	quarantineMethod  = "quarantine"
 )
 
 // Polling intervals.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -310,6 +310,7 @@
 	linker.Handle(d.control, memberMethod, d.handleMember)
 	linker.Handle(d.control, joinMethod, d.handleJoin)
 	linker.Handle(d.control, crashMethod, d.handleCrash)
+	linker.Handle(d.control, quarantineMethod, d.handleQuarantine)
 	linker.Handle(d.control, relayUpdateMethod, d.handleRelayUpdate)
 	linker.Handle(d.control, withdrawMethod, d.handleWithdraw)
 	linker.Handle(d.control, copyMethod, d.handleCopy)
@@ -441,7 +442,7 @@
 			}
 		})
 	}
-	for _, run := range []func(context.Context){d.operatorFollower.Run, d.outcomeFollower.Run, d.runRelay, d.gossip, d.runRefresh, d.register, d.pollPeers, d.writeOutcomes, d.watchTarget, d.writeDepartures, d.expireDepartures} {
+	for _, run := range []func(context.Context){d.operatorFollower.Run, d.outcomeFollower.Run, d.runRelay, d.gossip, d.runRefresh, d.register, d.pollPeers, d.writeOutcomes, d.watchTarget, d.writeDepartures, d.expireDepartures, d.readQuarantine} {
 		group.Go(func() { run(runCtx) })
 	}
 	d.log.Info("daemon started", "service", d.sidecar.Service, "traffic", d.settings.Listen.Traffic, "admit", d.settings.Listen.Admit)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -44,6 +44,9 @@
 // heartbeat is the interval of targets' announcements.
 const heartbeat = 200 * time.Millisecond
 
+// contactTime is the time after its start from which a daemon has to know what others know.
+const contactTime = 3 * time.Second
+
 // rejoinTime covers two attempts of a daemon to rejoin daemons that are gone.
 const rejoinTime = 5 * time.Second
 
@@ -1234,6 +1237,57 @@
 	}
 }
 
+// TestQuarantineOutlivesRestart guards against a request that crashes a target again because
+// the target's daemon has restarted and does not know that the request is quarantined.
+func TestQuarantineOutlivesRestart(t *testing.T) {
+	m := newMesh(t)
+	for _, dc := range []string{"zilina", "zilina", "martin"} {
+		m.addNode(dc, "renewal", "v1")
+	}
+	m.writePlan(1, rule{Prefix: "/u/", Kind: "unsafe", Service: "renewal"})
+	m.waitForMembers()
+	for _, n := range m.nodes {
+		m.waitFor("the daemon serves requests", func() bool { return n.sendRequest("POST", "/u/", "w", "well").status == 200 })
+		n.backend.CrashOn("poison")
+	}
+	entry, restarted := m.nodes[0], m.nodes[2]
+	runs := func() (n int) {
+		for _, node := range m.nodes {
+			for _, a := range node.backend.Arrivals() {
+				if a.Body == "poison" {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	m.waitFor("the request is quarantined", func() bool {
+		entry.sendRequest("POST", "/u/", "p", "poison")
+		return runs() == 2
+	})
+	for _, n := range m.nodes {
+		n.backend.Crash()
+		if err := n.backend.Start(n.backend.Address(), n.backend.Instance()); err != nil {
+			t.Fatal(err)
+		}
+		n.backend.CrashOn("poison")
+	}
+	restarted.stop()
+	<-restarted.ended
+	restarted.start()
+	m.waitForMembers()
+	m.waitFor("the restarted daemon's target serves requests", func() bool {
+		return strings.HasPrefix(restarted.sendRequest("POST", "/u/", "w", "well").body, restarted.backend.Instance())
+	})
+	time.Sleep(contactTime)
+	for i := range 20 {
+		restarted.sendRequest("POST", "/u/", fmt.Sprint("q-", i), "poison")
+	}
+	if n := runs(); n != 2 {
+		t.Errorf("%d targets ran the crashing request, want 2", n)
+	}
+}
+
 // TestStartWithUnresponsiveDaemons guards against a slow start. The store lists many
 // daemons that are gone and whose addresses accept connections but never respond.
 func TestStartWithUnresponsiveDaemons(t *testing.T) {
