sidecar, soaker: a test of open connections that go silent for good

TestSilentConnectionsAreReplaced silences all connections to the store, between daemons and to targets, through links with the new fault Silence, waits contact_ms, changes the plan and waits config_ms: each daemon has the plan, and each request is answered within a second.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -47,6 +47,9 @@
 // contactTime is the time after its start from which a daemon has to know what others know.
 const contactTime = 3 * time.Second
 
+// configTime is the time after which a change is in force at all daemons.
+const configTime = 2 * time.Second
+
 // rejoinTime covers two attempts of a daemon to rejoin daemons that are gone.
 const rejoinTime = 5 * time.Second
 
@@ -60,6 +63,8 @@
 	// clock and grace are those of the daemons that are added.
 	clock timekeeper.Clock
 	grace time.Duration
+	// configure changes the settings of the daemons that are added; it may be nil.
+	configure func(s *loader.Settings)
 }
 
 // node is a daemon with its target.
@@ -180,6 +185,9 @@
 			MemoryMiB:   256,
 		},
 	}
+	if m.configure != nil {
+		m.configure(&n.settings)
+	}
 	if err := n.settings.Validate(); err != nil {
 		m.t.Fatal(err)
 	}
@@ -795,6 +803,67 @@
 	}
 }
 
+// TestSilentConnectionsAreReplaced guards against requests and changes that wait for open
+// connections which have gone silent for good, while new ones work: those to the store, to
+// other daemons and to the target.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	m := newMesh(t)
+	store := m.store
+	var links []*soaker.Link
+	connect := func(server string) string {
+		link, err := soaker.NewLink(m.freeAddress(), server)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(link.Close)
+		links = append(links, link)
+		return link.Address()
+	}
+	m.configure = func(s *loader.Settings) {
+		s.Platform = connect(store)
+		s.Advertise = loader.Advertise{
+			Admit:   connect(s.Listen.Admit),
+			Control: connect(s.Listen.Control),
+		}
+		s.Sidecar.Target = connect(s.Sidecar.Target)
+	}
+	m.addNode("zilina", "renewal", "v1")
+	m.addNode("zilina", "documents", "v1")
+	m.addNode("martin", "documents", "v1")
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	send := func(n *node, wantBound time.Duration) {
+		start := time.Now()
+		if got := n.sendRequest("GET", "/s/", "id", ""); got.status != 200 || time.Since(start) > wantBound {
+			t.Errorf("%s: %+v after %v, want status 200 within %v", n.settings.Name, got, time.Since(start), wantBound)
+		}
+	}
+	for range 20 {
+		for _, n := range m.nodes {
+			send(n, waitTimeout)
+		}
+	}
+	for _, l := range links {
+		l.Silence()
+	}
+	for range 5 {
+		for _, n := range m.nodes {
+			n.sendRequest("GET", "/s/", "id", "")
+		}
+	}
+	time.Sleep(contactTime)
+	m.writePlan(2, safeRule)
+	time.Sleep(configTime)
+	for _, n := range m.nodes {
+		if got := n.gauge("plan.version"); got != 2 {
+			t.Errorf("%s has plan %d after %v, want 2", n.settings.Name, got, configTime)
+		}
+		for range 10 {
+			send(n, time.Second)
+		}
+	}
+}
+
 // TestFewCallsDuringStoreOutage checks that only relays retry often during a store
 // outage, so that the number of calls stays low.
 func TestFewCallsDuringStoreOutage(t *testing.T) {
--- a/internal/soaker/link.go
+++ b/internal/soaker/link.go
@@ -29,6 +29,8 @@
 	changed chan struct{}
 	conns   map[net.Conn]bool
 	closed  bool
+	// silences is the number of calls of Silence.
+	silences int
 }
 
 const (
@@ -68,6 +70,15 @@
 	l.changed = make(chan struct{})
 }
 
+// Silence stalls all open connections in both directions for good. New ones work.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silences++
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 // Reset closes all connections with a TCP reset.
 func (l *Link) Reset() {
 	l.mu.Lock()
@@ -107,7 +118,16 @@
 		return
 	}
 	defer l.removeConn(client)
-	l.waitWhileStalled(func(f Fault) bool { return f.StallToServer })
+	opened := l.silenceCount()
+	toServer := direction{
+		stalled: func(f Fault) bool { return f.StallToServer },
+		opened:  opened,
+	}
+	fromServer := direction{
+		stalled: func(f Fault) bool { return f.StallFromServer },
+		opened:  opened,
+	}
+	l.waitWhileStalled(toServer)
 	server, err := net.Dial("tcp", l.server)
 	if err != nil {
 		if tcp, ok := client.(*net.TCPConn); ok {
@@ -120,11 +140,25 @@
 	}
 	defer l.removeConn(server)
 	var copies sync.WaitGroup
-	copies.Go(func() { l.copyDirection(server, client, func(f Fault) bool { return f.StallToServer }) })
-	copies.Go(func() { l.copyDirection(client, server, func(f Fault) bool { return f.StallFromServer }) })
+	copies.Go(func() { l.copyDirection(server, client, toServer) })
+	copies.Go(func() { l.copyDirection(client, server, fromServer) })
 	copies.Wait()
 }
 
+// direction is one direction of a connection.
+type direction struct {
+	// stalled reports whether a fault stalls the direction.
+	stalled func(Fault) bool
+	// opened is the number of calls of Silence before the connection was opened.
+	opened int
+}
+
+func (l *Link) silenceCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silences
+}
+
 // chunk is the result of one read. The last one of a connection has an error.
 type chunk struct {
 	data   []byte
@@ -133,9 +167,8 @@
 }
 
 // copyDirection copies one direction of a connection and forwards its end of
-// file or reset. The function stalled reports whether a fault stalls this
-// direction.
-func (l *Link) copyDirection(to, from net.Conn, stalled func(Fault) bool) {
+// file or reset.
+func (l *Link) copyDirection(to, from net.Conn, d direction) {
 	chunks := make(chan chunk, maxChunks)
 	go func() {
 		defer close(chunks)
@@ -149,7 +182,7 @@
 		}
 	}()
 	for c := range chunks {
-		delay := l.waitWhileStalled(stalled)
+		delay := l.waitWhileStalled(d)
 		time.Sleep(time.Until(c.readAt.Add(delay)))
 		_, err := to.Write(c.data)
 		switch {
@@ -173,14 +206,15 @@
 	}
 }
 
-// waitWhileStalled waits while the current fault stalls the direction, and
-// returns the fault's delay.
-func (l *Link) waitWhileStalled(stalled func(Fault) bool) time.Duration {
+// waitWhileStalled waits while the current fault stalls the direction or the connection
+// is silent, and returns the fault's delay.
+func (l *Link) waitWhileStalled(d direction) time.Duration {
 	for {
 		l.mu.Lock()
 		f, changed := l.fault, l.changed
+		silent := l.silences > d.opened && !l.closed
 		l.mu.Unlock()
-		if !stalled(f) {
+		if !silent && !d.stalled(f) {
 			return f.Delay
 		}
 		<-changed
--- a/internal/soaker/link_test.go
+++ b/internal/soaker/link_test.go
@@ -99,3 +99,41 @@
 		t.Errorf("read: %v, want a connection reset", err)
 	}
 }
+
+// TestSilence checks that open connections go silent and new ones work.
+func TestSilence(t *testing.T) {
+	link, err := soaker.NewLink("127.0.0.1:0", startEchoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	echo := func(conn net.Conn) error {
+		if _, err := io.WriteString(conn, "line\n"); err != nil {
+			return err
+		}
+		if err := conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond)); err != nil {
+			return err
+		}
+		_, err := bufio.NewReader(conn).ReadString('\n')
+		return err
+	}
+	var conns [2]net.Conn
+	for i := range conns {
+		if conns[i], err = net.Dial("tcp", link.Address()); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conns[i].Close() }()
+		if i == 0 {
+			if err := echo(conns[0]); err != nil {
+				t.Fatalf("before the silence: error %v, want an echo", err)
+			}
+			link.Silence()
+		}
+	}
+	if err := echo(conns[0]); err == nil {
+		t.Error("an open connection has echoed after Silence")
+	}
+	if err := echo(conns[1]); err != nil {
+		t.Errorf("a new connection: error %v, want an echo", err)
+	}
+}
