forwarder: a target whose time runs out is a failure, also if the caller's daemon is faster

Callers: none directly. A target that trickles a response without end counted as an aborted call now and then, so that neither the limiter nor the judgement of its version learned that it fails.

Cause: the daemon of the caller cancels a request at the same moment at which the target's daemon ends it. If the cancellation came first, it was taken for a caller that has left.

Change: a cancellation in the last tenth of a request's time counts as its end.

TestCancellationAtDeadlineIsFailure failed before and passes now.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -81,7 +81,7 @@
 
 // run sends an admitted request to the target and relays the response.
 func (a *Admission) run(w http.ResponseWriter, r *http.Request, l *Local, ticket *limiter.Ticket) {
-	start := a.Clock.Now()
+	start, began := a.Clock.Now(), time.Now()
 	outcome := limiter.Outcome{Failed: true}
 	defer func() {
 		outcome = outcome.WithDuration(a.Clock.Now().Sub(start))
@@ -93,23 +93,30 @@
 	resp, err := roundTripFramed(a.Transport, out)
 	setHeadroom(w.Header(), l)
 	if err != nil {
-		outcome = failedOutcome(r.Context(), out)
+		outcome = failedOutcome(r.Context(), out, began)
 		writeError(w, errorStatus(err), r.Header.Get(RequestIDHeader), err)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if err := relayResponse(w, resp); err != nil {
-		outcome = failedOutcome(r.Context(), out)
+		outcome = failedOutcome(r.Context(), out, began)
 		panic(http.ErrAbortHandler)
 	}
 	outcome.Failed = resp.StatusCode >= http.StatusInternalServerError
 }
 
-// failedOutcome returns the outcome of a request without a complete response. It
-// is a failure of the target unless the caller cancelled the request or the
-// request's body could not be read.
-func failedOutcome(ctx context.Context, out *http.Request) limiter.Outcome {
+// lateFraction is the fraction of a request's time that may be left when the caller's daemon
+// cancels the request because its time is over.
+const lateFraction = 0.1
+
+// failedOutcome returns the outcome of a request without a complete response, which began at
+// the given time. It is a failure of the target unless the caller cancelled the request before
+// its time was nearly over, or the request's body could not be read.
+func failedOutcome(ctx context.Context, out *http.Request, began time.Time) limiter.Outcome {
 	cancelledByCaller := ctx.Err() == context.Canceled
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < time.Duration(lateFraction*float64(deadline.Sub(began))) {
+		cancelledByCaller = false
+	}
 	return limiter.Outcome{
 		Failed:  !cancelledByCaller && bodyError(out) == nil,
 		Aborted: ctx.Err() != nil || bodyError(out) != nil,
