sidecar: a silent connection to the store doesn't delay an acknowledgement

Callers: a target that leaves waits a second for the acknowledgement. If the open connections to the store have gone silent for good, the write of its departure took the whole time of a call, and the report got 503.

Cause: the first call after the silence runs into its timeout, which is as long as the target waits.

Change: the first call of a write is bounded to 300 ms; a second one follows at once, on a new connection.

--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -18,6 +18,9 @@
 	// departureTimeout bounds the time for which a report waits until a departure is
 	// stored. Targets wait a second for the response.
 	departureTimeout = 800 * time.Millisecond
+	// firstWriteTimeout bounds the first call of a write. The connection may be silent, and
+	// another is used if the call has timed out.
+	firstWriteTimeout = 300 * time.Millisecond
 	// departureRetention is how long a departure is kept. It is far longer than a process
 	// runs after its leave report and than an announcement is delayed.
 	departureRetention = 10 * time.Minute
@@ -145,7 +148,7 @@
 func (d *Daemon) writeDepartures(ctx context.Context) {
 	for ctx.Err() == nil {
 		startTime := d.clock.Now()
-		err := d.syncDepartures(ctx)
+		err := d.syncDeparturesTwice(ctx)
 		switch {
 		case err == nil:
 			select {
@@ -163,6 +166,19 @@
 	}
 }
 
+// syncDeparturesTwice is like syncDepartures. If the departures were read before, it calls
+// the store a second time after a timeout of firstWriteTimeout.
+func (d *Daemon) syncDeparturesTwice(ctx context.Context) error {
+	if d.departures.synced {
+		first, cancel := context.WithTimeout(ctx, firstWriteTimeout)
+		defer cancel()
+		if err := d.syncDepartures(first); first.Err() == nil {
+			return err
+		}
+	}
+	return d.syncDepartures(ctx)
+}
+
 // syncDepartures reads the departures from the store if necessary, and stores those that
 // are missing there.
 func (d *Daemon) syncDepartures(ctx context.Context) error {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -864,6 +864,27 @@
 	}
 }
 
+// TestLeaveReportOverSilentConnection guards against a leave report that is not acknowledged
+// within a second because the open connections to the store have gone silent.
+func TestLeaveReportOverSilentConnection(t *testing.T) {
+	m := newMesh(t)
+	link, err := soaker.NewLink(m.freeAddress(), m.store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	m.store = link.Address()
+	a := m.addNode("zilina", "renewal", "v1")
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	a.stopHeartbeats()
+	link.Silence()
+	start := time.Now()
+	if err := a.backend.Deregister(t.Context(), a.settings.Listen.Operator, basePath); err != nil || time.Since(start) > time.Second {
+		t.Errorf("leave report: error %v after %v, want an acknowledgement within 1s", err, time.Since(start))
+	}
+}
+
 // TestFewCallsDuringStoreOutage checks that only relays retry often during a store
 // outage, so that the number of calls stays low.
 func TestFewCallsDuringStoreOutage(t *testing.T) {
