sidecar: old departures are found without the time of day

The time of day may jump by more than the retention period. A relay whose clock is ahead would have removed departures that were just stored, and a daemon whose clock went back would have dropped the one that it had to store.

Change: a relay removes a key that has not changed since its last pass, ten minutes earlier by its steady clock; a daemon keeps its last four departures in the order in which they came. A report that arrives while the store is away starts the next attempt at once.

--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,8 +20,8 @@
 	// firstWriteTimeout bounds the first call of a write. The connection may be silent, and
 	// another is used if the call has timed out.
 	firstWriteTimeout = 300 * time.Millisecond
-	// departureRetention is how long a departure is kept. It is far longer than a process
-	// runs after its leave report and than an announcement is delayed.
+	// departureRetention is the minimum time for which departures are kept. It is far longer
+	// than a process runs after its leave report and than an announcement is delayed.
 	departureRetention = 10 * time.Minute
 	// maxDepartures is the number of departures that are kept for one target.
 	maxDepartures = 4
@@ -34,11 +33,9 @@
 	// Start is the latest start of these processes, in Unix milliseconds, or 0 if it is
 	// unknown.
 	Start int64 `json:"start"`
-	// Time is the time of the leave report in Unix milliseconds.
-	Time int64 `json:"time"`
 }
 
-// departureLog holds the latest departures of the local target. They are stored before
+// departureLog holds the latest departures of the local target, the last one at the end. They are stored before
 // the target's report is acknowledged, so that they are still known after all daemons
 // have restarted. The zero value is not ready to use: due must be set.
 type departureLog struct {
@@ -69,26 +66,25 @@
 	}
 }
 
-// merge adds a departure unless it is known, and drops the oldest ones beyond the limits. It
-// reports whether it has added it. The caller holds the lock.
+// merge adds a departure unless it is known, and drops the oldest ones beyond maxDepartures.
+// It reports whether it has added it. The caller holds the lock.
 func (l *departureLog) merge(e departure) bool {
 	same := func(o departure) bool { return o.Instance == e.Instance }
 	if i := slices.IndexFunc(l.entries, same); i >= 0 && l.entries[i].Start >= e.Start {
 		return false
 	}
 	entries := append(slices.DeleteFunc(slices.Clone(l.entries), same), e)
-	slices.SortStableFunc(entries, func(a, b departure) int { return cmp.Compare(a.Time, b.Time) })
-	oldest := entries[len(entries)-1].Time - departureRetention.Milliseconds()
-	entries = slices.DeleteFunc(entries, func(o departure) bool { return o.Time < oldest })
 	l.entries = entries[max(0, len(entries)-maxDepartures):]
 	return true
 }
 
-// mergeAll adds departures that were read from the store.
-func (l *departureLog) mergeAll(entries []departure) {
+// mergeOlder adds departures that were read from the store before those that are known.
+func (l *departureLog) mergeOlder(older []departure) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, e := range entries {
+	newer := l.entries
+	l.entries = nil
+	for _, e := range slices.Concat(older, newer) {
 		l.merge(e)
 	}
 }
@@ -161,11 +157,22 @@
 			d.incrementCounter("departure.failed")
 			d.log.Warn("departures not stored or not read", "took", d.clock.Now().Sub(startTime), "err", err)
 			d.setDeparturesUnreadable()
-			sleep(ctx, d.registerPause())
+			d.waitForDeparture(ctx, d.registerPause())
 		}
 	}
 }
 
+// waitForDeparture waits for a time, or until a departure is added.
+func (d *Daemon) waitForDeparture(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-d.departures.due:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // syncDeparturesTwice is like syncDepartures. If the departures were read before, it calls
 // the store a second time after a timeout of firstWriteTimeout.
 func (d *Daemon) syncDeparturesTwice(ctx context.Context) error {
@@ -233,7 +240,7 @@
 func (d *Daemon) applyDepartures(entries []departure) {
 	d.announcementMu.Lock()
 	defer d.announcementMu.Unlock()
-	d.departures.mergeAll(entries)
+	d.departures.mergeOlder(entries)
 	for _, e := range entries {
 		d.log.Info("departure known from before the start", "instance", e.Instance)
 		d.endProcesses(e)
@@ -289,32 +296,35 @@
 }
 
 // expireDepartures removes old departures from the store until ctx ends. Relays do that for
-// all daemons, because a VM that is gone for good does not remove its own.
+// all daemons, because a VM that is gone for good does not remove its own. It does not rely on
+// the time of day, which may be wrong.
 func (d *Daemon) expireDepartures(ctx context.Context) {
+	var seen map[string]uint64
 	for ctx.Err() == nil {
 		sleep(ctx, departureRetention)
 		if ctx.Err() == nil && d.isRelay() {
-			d.removeOldDepartures(ctx)
+			seen = d.removeOldDepartures(ctx, seen)
 		}
 	}
 }
 
-// removeOldDepartures removes the keys whose departures are all older than
-// departureRetention.
-func (d *Daemon) removeOldDepartures(ctx context.Context) {
+// removeOldDepartures removes the keys that have the versions seen by an earlier call, and
+// returns the versions of the others.
+func (d *Daemon) removeOldDepartures(ctx context.Context, seen map[string]uint64) map[string]uint64 {
 	result, err := d.platform.Store.Range(ctx, d.platform.DeparturePrefix)
 	if err != nil {
 		d.log.Warn("departures not read", "err", err)
-		return
+		return seen
 	}
-	oldest := d.clock.Now().Add(-departureRetention).UnixMilli()
+	others := map[string]uint64{}
 	for _, c := range result.Changes {
-		entries := d.decodeDepartures(c.Item)
-		if len(entries) == 0 || slices.ContainsFunc(entries, func(e departure) bool { return e.Time >= oldest }) {
+		if seen[c.Key] != c.Version {
+			others[c.Key] = c.Version
 			continue
 		}
 		if err := d.platform.Store.DeleteIf(ctx, c.Key, c.Version); err != nil {
-			d.log.Debug("departure not removed", "key", c.Key, "err", err)
+			d.log.Debug("departures not removed", "key", c.Key, "err", err)
 		}
 	}
+	return others
 }
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -141,7 +141,6 @@
 	d.departures.add(departure{
 		Instance: instance,
 		Start:    start,
-		Time:     d.clock.Now().UnixMilli(),
 	})
 }
 
