--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -521,19 +521,7 @@
 	b.stop()
 	<-b.ended
 	b.start()
-	m.waitFor("the daemons have joined", func() bool { return b.gauge("plan.version") > 0 && b.gauge("member.live") == 2 })
-	if err := b.backend.Report(t.Context(), b.settings.Listen.Operator, basePath); err != nil {
-		t.Fatal(err)
-	}
-	before := len(b.backend.Arrivals())
-	for began := time.Now(); time.Since(began) < 3*heartbeat; {
-		a.sendRequest("GET", "/s/", "a", "")
-		b.sendRequest("GET", "/s/", "b", "")
-	}
-	if after := len(b.backend.Arrivals()); after != before {
-		t.Errorf("%d requests reached the target after its leave report", after-before)
-	}
-	b.checkNewProcessIsUsed()
+	b.checkLateReport(a)
 }
 
 // TestLeftTargetStaysOutAfterRestartOfAll guards against a target in use again after its leave
@@ -557,19 +545,28 @@
 	for _, n := range m.nodes {
 		n.start()
 	}
-	m.waitFor("the daemons have joined", func() bool { return b.gauge("plan.version") > 0 && b.gauge("member.live") == 2 })
-	if err := b.backend.Report(t.Context(), b.settings.Listen.Operator, basePath); err != nil {
+	b.checkLateReport(a)
+}
+
+// checkLateReport sends a late report of the node's target, which has left, after the node's
+// daemon has restarted. It checks that no request reaches the target, from either of the two
+// daemons, and that a new process of it is used.
+func (n *node) checkLateReport(other *node) {
+	t := n.mesh.t
+	t.Helper()
+	n.mesh.waitFor("the daemons have joined", func() bool { return n.gauge("plan.version") > 0 && n.gauge("member.live") == 2 })
+	if err := n.backend.Report(t.Context(), n.settings.Listen.Operator, basePath); err != nil {
 		t.Fatal(err)
 	}
-	before := len(b.backend.Arrivals())
+	before := len(n.backend.Arrivals())
 	for began := time.Now(); time.Since(began) < 3*heartbeat; {
-		a.sendRequest("GET", "/s/", "a", "")
-		b.sendRequest("GET", "/s/", "b", "")
+		other.sendRequest("GET", "/s/", "a", "")
+		n.sendRequest("GET", "/s/", "b", "")
 	}
-	if after := len(b.backend.Arrivals()); after != before {
+	if after := len(n.backend.Arrivals()); after != before {
 		t.Errorf("%d requests reached the target after its leave report", after-before)
 	}
-	b.checkNewProcessIsUsed()
+	n.checkNewProcessIsUsed()
 }
 
 // checkNewProcessIsUsed restarts the node's target under its name and checks that the new
