--- a/internal/emulator/recordcalls.go
+++ b/internal/emulator/recordcalls.go
@@ -22,6 +22,10 @@
 	handle := func(pattern, kind string, limiter *rate.Limiter, h http.HandlerFunc) {
 		method, path, _ := strings.Cut(pattern, " ")
 		mux.HandleFunc(method+" "+basePath+path, func(w http.ResponseWriter, req *http.Request) {
+			w = eraWriter{
+				ResponseWriter: w,
+				records:        r,
+			}
 			if r.beginCall(w, req, kind, limiter) {
 				return
 			}
@@ -38,6 +42,17 @@
 	return mux
 }
 
+// eraWriter adds the header of the store's era to a response.
+type eraWriter struct {
+	http.ResponseWriter
+	records *Records
+}
+
+func (w eraWriter) WriteHeader(status int) {
+	w.Header().Set(EraHeader, strconv.FormatUint(w.records.era.Load(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // beginCall counts a call and applies the rate limit and the faults Slow, Silent
 // and Refuse to it. It reports whether the call has ended.
 func (r *Records) beginCall(w http.ResponseWriter, req *http.Request, kind string, limiter *rate.Limiter) bool {
@@ -118,18 +133,10 @@
 	}
 	ctx, cancel := context.WithTimeout(req.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
+	era := r.era.Load()
 	for {
-		r.mu.Lock()
-		r.expireLeases()
-		events, asOf, tooOld := r.eventsAfter(q.Get("prefix"), after)
-		changed := r.changed
-		r.mu.Unlock()
-		switch {
-		case tooOld:
-			w.WriteHeader(http.StatusGone)
-			return
-		case len(events) > 0 || ctx.Err() != nil:
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
+		changed, answered := r.answerWatch(ctx, w, q.Get("prefix"), after, era)
+		if answered {
 			return
 		}
 		select {
@@ -139,11 +146,34 @@
 	}
 }
 
+// answerWatch answers a watch that began in an era, if there are events or its time is up.
+// It cuts the connection if the era has ended. Otherwise it returns the channel that is
+// closed at the next change. It writes the response under the lock, so that the era in its
+// header is that of its events.
+func (r *Records) answerWatch(ctx context.Context, w http.ResponseWriter, prefix string, after, era uint64) (changed <-chan struct{}, answered bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expireLeases()
+	if r.era.Load() != era {
+		panic(http.ErrAbortHandler)
+	}
+	events, asOf, gone := r.eventsAfter(prefix, after)
+	switch {
+	case gone:
+		w.WriteHeader(http.StatusGone)
+	case len(events) > 0 || ctx.Err() != nil:
+		writeJSON(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
+	default:
+		return r.changed, false
+	}
+	return nil, true
+}
+
 // eventsAfter returns the events under a prefix after a revision, and the current
-// revision. The result tooOld means that the history after that revision has been
-// compacted. The caller holds the lock.
-func (r *Records) eventsAfter(prefix string, after uint64) (events []recordEvent, asOf uint64, tooOld bool) {
-	if after < r.compacted {
+// revision. The result gone means that the history after that revision has been
+// compacted, or that the store does not have the revision. The caller holds the lock.
+func (r *Records) eventsAfter(prefix string, after uint64) (events []recordEvent, asOf uint64, gone bool) {
+	if after < r.compacted || after > r.revision {
 		return nil, 0, true
 	}
 	events = []recordEvent{}
@@ -181,18 +211,20 @@
 	r.mu.Unlock()
 	if rand.Float64() < f.LoseShare {
 		time.Sleep(f.Late)
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.applyTxn(txn)
 		panic(http.ErrAbortHandler)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	status, body := r.applyTxn(txn)
 	writeJSON(w, status, body)
 }
 
 // applyTxn applies a transaction if its conditions hold. It returns the HTTP
-// status and the body of the response.
+// status and the body of the response. The caller holds the lock.
 func (r *Records) applyTxn(txn recordTxn) (status int, body any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.expireLeases()
 	for _, e := range txn.Expected {
 		if r.items[e.Key].Rev != e.Rev {
--- a/internal/emulator/records.go
+++ b/internal/emulator/records.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -61,6 +62,9 @@
 	writeLimiter *rate.Limiter
 	readLimiter  *rate.Limiter
 
+	// era counts the restores, from 1. It changes only while mu is held.
+	era atomic.Uint64
+
 	mu      sync.Mutex
 	items   map[string]recordItem
 	history []recordEvent
@@ -86,7 +90,7 @@
 
 // NewRecords returns an empty store.
 func NewRecords(clock timekeeper.Clock) *Records {
-	return &Records{
+	r := &Records{
 		clock:        clock,
 		writeLimiter: rate.NewLimiter(writesPerSecond, writesPerSecond),
 		readLimiter:  rate.NewLimiter(readsPerSecond, readsPerSecond),
@@ -96,6 +100,8 @@
 		callCounts:   map[string]int{},
 		changed:      make(chan struct{}),
 	}
+	r.era.Store(1)
+	return r
 }
 
 // SetFaults replaces the injected faults.
