platform: the store's era

Cause: the logs had the revisions of copies only, so that an ignored change and a change that was skipped by a watch looked alike: the store gives out revisions again after it has come back from an older copy.

A response of an earlier era than one that was seen is a failure whose effect is unknown, and pages of two eras are no range. storer.Position orders revisions across eras. Nothing uses it yet.

--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -36,6 +36,17 @@
 	Key     string
 	Value   []byte
 	Version uint64
+	// Era is the era of the service in which the item was read, or 0 if the service has no
+	// eras.
+	Era uint64 `json:",omitempty"`
+}
+
+// Position returns the position of the item's last write.
+func (i Item) Position() Position {
+	return Position{
+		Era:      i.Era,
+		Revision: i.Version,
+	}
 }
 
 // Change is a write of an item or, if Deleted is set, the deletion of its key.
@@ -45,10 +56,11 @@
 }
 
 // RangeResult is the result of Range or WatchPrefix. It contains at least the
-// state, or the changes, up to Revision, and may contain later changes.
+// state, or the changes, up to Revision, and may contain later changes. All are of one era.
 type RangeResult struct {
 	Changes  []Change
 	Revision uint64
+	Era      uint64
 }
 
 // LeaseID identifies a lease. The empty ID means no lease.
@@ -85,4 +97,7 @@
 	KeepAlive func(ctx context.Context, id LeaseID) error
 	// Revoke ends a lease and deletes the keys that are attached to it.
 	Revoke func(ctx context.Context, id LeaseID) error
+	// Era returns the latest era that a response has named, or 0 if none has. A call fails
+	// if its response is from an earlier one. Era is nil if the service has no eras.
+	Era func() uint64
 }
