sidecar: leases of an earlier era are replaced

Callers saw nothing yet: daemons that had registered after the copy were unknown to those that started later.

Cause: a daemon renewed its lease after the store's return from an older copy. The store had lost it, or had given its ID to another daemon since, and then the renewal kept the other's lease. Daemons that aren't relays learnt of neither for up to 6 s.

Change: a lease belongs to the era in which it was granted. A daemon that sees a later era, in the store's answers or in a relay's update, registers anew within a second, under the jitter that spreads calls after an outage.

--- a/internal/sidecar/eras.go
+++ b/internal/sidecar/eras.go
@@ -55,7 +55,8 @@
 }
 
 // observeEra handles an era that a daemon has seen at a time. In a later one than before, the
-// store has lost its newest changes, and the watches start again.
+// store has lost its newest changes and leases: the watches start again, and the daemon
+// registers again.
 func (d *Daemon) observeEra(era uint64, seen time.Time) {
 	before, restored := d.eras.add(era, seen)
 	if !restored {
@@ -64,6 +65,7 @@
 	d.incrementCounter("store.restores")
 	d.log.Warn("store has come back from an older copy", "era", era, "before", before)
 	d.restartWatches()
+	d.signalStoreRecovery()
 	d.triggerRelayUpdate()
 }
 
--- a/internal/sidecar/registration.go
+++ b/internal/sidecar/registration.go
@@ -47,14 +47,18 @@
 	store := d.platform.Store
 	key := d.platform.DaemonPrefix + d.settings.Name
 	var lease storer.LeaseID
+	var leaseEra uint64
 	nextLookup := d.clock.Now()
 	for lookups := 0; ctx.Err() == nil; {
 		var err error
-		if lease == "" {
-			lease, err = d.writeKey(ctx, key)
-		} else {
+		if lease != "" && leaseEra == d.era() {
 			err = store.KeepAlive(ctx, lease)
+		} else {
+			// The store has lost a lease of an earlier era, and may have given its ID to another
+			// daemon.
+			lease, leaseEra, err = d.writeKey(ctx, key)
 		}
+		d.observeStoreEra()
 		if errors.Is(err, storer.ErrLeaseExpired) {
 			d.log.Info("lease of the registration expired; registering again")
 			lease = ""
@@ -131,25 +135,28 @@
 	}
 }
 
-// writeKey writes the daemon's key under a new lease.
-func (d *Daemon) writeKey(ctx context.Context, key string) (storer.LeaseID, error) {
+// writeKey writes the daemon's key under a new lease. It returns the lease and the era in which
+// it was granted.
+func (d *Daemon) writeKey(ctx context.Context, key string) (storer.LeaseID, uint64, error) {
 	store := d.platform.Store
 	lease, err := store.Grant(ctx, leaseTTL)
 	if err != nil {
-		return "", err
+		return "", 0, err
 	}
+	d.observeStoreEra()
+	era := d.era()
 	_, err = store.PutIf(ctx, key, []byte(d.settings.ControlAddress()), 0, lease)
 	if errors.Is(err, storer.ErrConflict) {
 		item, getErr := store.Get(ctx, key)
 		if getErr != nil {
-			return "", getErr
+			return "", 0, getErr
 		}
 		_, err = store.PutIf(ctx, key, []byte(d.settings.ControlAddress()), item.Version, lease)
 	}
 	if err != nil {
-		return "", err
+		return "", 0, err
 	}
-	return lease, nil
+	return lease, era, nil
 }
 
 // maxJoins is the number of successful joins after which a lookup starts no further
