sidecar: outcomes that the store has lost are written again; an order written again is the same rollout

Callers saw: a rollout that had been completed or rolled back ran again, and the old version, which the platform had been told it may stop, was served again.

Cause: a rollout was known by the revision of its order, and an outcome belonged to it if its revision was higher. After the store's return from an older copy the order, written again, had a revision of its own, lower than that of another rollout before or equal to it. Outcomes were written by the system alone, and no daemon wrote them again.

Change: orders and outcomes have positions of era and revision. An order of a later era that says the same as the one before is the same rollout: its trial, counts, verdict and final state go on. A final state holds although the store lost its outcome, and the ranked writers write it again, on the condition of the version that the store has. An order for the version that was completed last is completed. Counts and withdrawals name the era.

Evidence: TestOutcomeOutlivesRestore failed on (no status 2 s after the return) and passes, both states, also after a restart of all daemons; TestEndedRolloutIsNotTriedAgain, TestRolloutContinuesAcrossEras, TestOtherRolloutOfSameRevisionIsNew. TestGoodVersionOfFailingInternalServiceIsCompleted fails as before.

--- a/internal/prober/member.go
+++ b/internal/prober/member.go
@@ -91,6 +91,8 @@
 	Timed    int    `json:"timed,omitempty"`
 	Slow     int    `json:"slow,omitempty"`
 	Rollout  uint64 `json:"rollout,omitempty"`
+	// RolloutEra is the era of that revision, or 0 if it is unknown.
+	RolloutEra uint64 `json:"rolloutera,omitempty"`
 }
 
 // WithStatus returns a copy of m with the given status.
--- a/internal/shifter/judge.go
+++ b/internal/shifter/judge.go
@@ -155,6 +155,15 @@
 	return j.bad
 }
 
+// Continue counts for the rollout r from the counts of old, which r repeats.
+func (j *Judge) Continue(old, r Rollout) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.rollout == old {
+		j.rollout = r
+	}
+}
+
 // Bad reports whether the version of the rollout r was found bad.
 func (j *Judge) Bad(r Rollout) bool {
 	j.mu.Lock()
--- a/internal/shifter/shifter.go
+++ b/internal/shifter/shifter.go
@@ -20,8 +20,23 @@
 	// Period is the time within which the rollout must be done.
 	Period time.Duration
 	// Revision is the revision of the platform's store at which the rollout was
-	// written.
+	// written, and Era the era of the revision, or 0 if the store has no eras.
 	Revision uint64
+	Era      uint64
+}
+
+// Position returns the position at which the rollout was written.
+func (r Rollout) Position() storer.Position {
+	return storer.Position{
+		Era:      r.Era,
+		Revision: r.Revision,
+	}
+}
+
+// Repeats reports whether r is the rollout o, written again or read again after the store
+// has come back from an older copy.
+func (r Rollout) Repeats(o Rollout) bool {
+	return r.Era > o.Era && r.Service == o.Service && r.Version == o.Version && r.Period == o.Period
 }
 
 // State is the state of a rollout.
@@ -51,7 +66,13 @@
 // BelongsTo reports whether the outcome belongs to the rollout r: the version is
 // the same, and the outcome was stored after the rollout.
 func (o Outcome) BelongsTo(r Rollout) bool {
-	return o.Version == r.Version && o.Item.Version > r.Revision
+	return o.Version == r.Version && o.Item.Position().After(r.Position())
+}
+
+// Satisfies reports whether the outcome of an earlier rollout leaves nothing to do for the
+// rollout r, because its version already gets all requests.
+func (o Outcome) Satisfies(r Rollout) bool {
+	return o.State == Completed && o.Version == r.Version
 }
 
 // Fractions of a rollout's period, and the new version's first share. The first
--- a/internal/sidecar/eras_test.go
+++ b/internal/sidecar/eras_test.go
@@ -8,9 +8,122 @@
 	"testing"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/follower"
+	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/prober"
+	"github.com/coltsfootlane/coltsfootlane/internal/shifter"
 	"github.com/coltsfootlane/coltsfootlane/internal/storer"
 )
 
+// declareAt puts the rollout in force as it was written at a position.
+func (d *rolloutDaemon) declareAt(era, revision uint64) shifter.Rollout {
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	r := rollout
+	r.Era, r.Revision = era, revision
+	d.applyDeclaration(Declaration{
+		Plan:     &matcher.Plan{Services: map[string]matcher.Service{"renewal": {}}},
+		Rollouts: map[string]shifter.Rollout{"renewal": r},
+	})
+	return r
+}
+
+// record puts an outcome in force that was written at a position, in a store of an era.
+func (d *rolloutDaemon) record(state shifter.State, era, revision, storeEra uint64) {
+	item := storer.Item{
+		Key:     "renewal",
+		Version: revision,
+		Era:     era,
+	}
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	d.outcomes = follower.Copy{Era: storeEra}
+	if era == storeEra {
+		d.outcomes.Items = []storer.Item{item}
+	}
+	d.setOutcomes(map[string]shifter.Outcome{"renewal": {
+		Service: "renewal",
+		Version: rollout.Version,
+		State:   state,
+		Item:    item,
+	}})
+}
+
+// TestEndedRolloutIsNotTriedAgain guards against a rollout that starts again because its order
+// was written again after its outcome, or because the store has lost the outcome.
+func TestEndedRolloutIsNotTriedAgain(t *testing.T) {
+	for _, state := range []shifter.State{shifter.Completed, shifter.RolledBack} {
+		t.Run(fmt.Sprint(state), func(t *testing.T) {
+			d := newRolloutDaemon()
+			check := func(when string, write bool) {
+				t.Helper()
+				s := d.view.Load().services["renewal"]
+				if s.completed != (state == shifter.Completed) || s.withdrawn != (state == shifter.RolledBack) {
+					t.Errorf("%s: completed %v, withdrawn %v", when, s.completed, s.withdrawn)
+				}
+				if next, due := d.nextOutcome("renewal", s); due != write || due && next.State != state {
+					t.Errorf("%s: outcome %v is to be written: %v, want %v: %v", when, next.State, due, state, write)
+				}
+			}
+			d.declareAt(1, 50)
+			d.record(state, 1, 60, 1)
+			check("at first", false)
+			d.record(state, 1, 60, 2)
+			check("after the store has lost the outcome", true)
+			d.record(state, 2, 40, 2)
+			check("after the outcome is written again", false)
+			d.declareAt(2, 41)
+			check("after the order is written again", true)
+			d.record(shifter.Running, 2, 42, 2)
+			check("after a late write of an earlier state", true)
+			d.record(state, 2, 43, 2)
+			check("after the outcome is written once more", false)
+		})
+	}
+}
+
+// TestRolloutContinuesAcrossEras guards against a trial that starts again, with its counts, when
+// its order is written again.
+func TestRolloutContinuesAcrossEras(t *testing.T) {
+	d := newRolloutDaemon()
+	first := d.declareAt(1, 50)
+	d.run(6 * time.Second)
+	d.judge.Add(first, shifter.RequestResult{Rule: "r", Failed: true}, 0)
+	elapsed := d.view.Load().services["renewal"].trial.Elapsed(d.clock.Now())
+	again := d.declareAt(2, 50)
+	if got := d.view.Load().services["renewal"].trial.Elapsed(d.clock.Now()); got != elapsed || elapsed == 0 {
+		t.Errorf("the trial has lasted %v, want %v", got, elapsed)
+	}
+	if got := d.judge.Total(again).Failures; got != 1 {
+		t.Errorf("%d failures counted, want 1", got)
+	}
+}
+
+// TestOtherRolloutOfSameRevisionIsNew guards against counts and withdrawals of a rollout that
+// count for another one, which has got its revision in a later era.
+func TestOtherRolloutOfSameRevisionIsNew(t *testing.T) {
+	old := rollout
+	old.Era = 1
+	other := rollout
+	other.Era, other.Version = 2, "v3"
+	target := prober.Target{
+		Version:    "v3",
+		Rollout:    old.Revision,
+		RolloutEra: old.Era,
+	}
+	if countsFor(target, other) {
+		t.Error("counts of the earlier rollout count for the later one")
+	}
+	w := withdrawal{
+		Service:  other.Service,
+		Revision: old.Revision,
+		Era:      old.Era,
+	}
+	if w.withdraws(other) || other.Repeats(old) {
+		t.Error("the later rollout is taken for the earlier one")
+	}
+}
+
 // eraStore is a store whose leases and keys are lost when its era rises.
 type eraStore struct {
 	mu    sync.Mutex
--- a/internal/sidecar/moves.go
+++ b/internal/sidecar/moves.go
@@ -80,7 +80,7 @@
 		return
 	}
 	var published shifter.Totals
-	if self.Rollout == r.Revision {
+	if self.Rollout == r.Revision && self.RolloutEra == r.Era {
 		published = totalsOf(*self)
 	}
 	total := d.judge.Total(r)
@@ -92,7 +92,8 @@
 	}
 	d.countsPublished.Store(d.clock.Now().UnixNano())
 	next := *self
-	next.Rollout, next.Calls, next.Failures = r.Revision, total.Calls, total.Failures
+	next.Rollout, next.RolloutEra = r.Revision, r.Era
+	next.Calls, next.Failures = total.Calls, total.Failures
 	next.Timed, next.Slow = total.Timed, total.Slow
 	d.publishTarget(&next)
 }
@@ -121,10 +122,10 @@
 // resultsOf returns the results of all targets of a rollout's version, those of daemons that
 // are gone included. The caller holds stateMu.
 func (d *Daemon) resultsOf(r shifter.Rollout, members []prober.Member) *shifter.Results {
-	results := d.results[r.Revision]
+	results := d.results[r.Position()]
 	if results == nil {
 		results = &shifter.Results{}
-		d.results[r.Revision] = results
+		d.results[r.Position()] = results
 	}
 	for _, m := range members {
 		if m.Target != nil && countsFor(*m.Target, r) {
@@ -135,8 +136,11 @@
 }
 
 // countsFor reports whether the counts of a target are those of a rollout. Daemons of older
-// versions, and entries that came through them, name no rollout.
+// versions, and entries that came through them, name no rollout or no era.
 func countsFor(t prober.Target, r shifter.Rollout) bool {
+	if t.RolloutEra != 0 && t.RolloutEra != r.Era {
+		return false
+	}
 	return t.Rollout == r.Revision || (t.Rollout == 0 && t.Version == r.Version)
 }
 
@@ -144,7 +148,14 @@
 type withdrawal struct {
 	Service  string `json:"service"`
 	Revision uint64 `json:"revision"`
-	By       string `json:"by"`
+	// Era is the era of the revision, or 0 if it is unknown.
+	Era uint64 `json:"era,omitempty"`
+	By  string `json:"by"`
+}
+
+// withdraws reports whether w withdraws the rollout r.
+func (w withdrawal) withdraws(r shifter.Rollout) bool {
+	return w.Revision == r.Revision && (w.Era == 0 || w.Era == r.Era)
 }
 
 // withdraw stops sending requests from this daemon to a rollout's version, and
@@ -167,6 +178,7 @@
 	d.callMembers(withdrawMethod, withdrawal{
 		Service:  r.Service,
 		Revision: r.Revision,
+		Era:      r.Era,
 		By:       d.settings.Name,
 	})
 }
@@ -176,7 +188,7 @@
 	d.stateMu.Lock()
 	defer d.stateMu.Unlock()
 	r, ok := d.declared.Rollouts[w.Service]
-	if !ok || r.Revision != w.Revision || d.badRollouts[r] {
+	if !ok || !w.withdraws(r) || d.badRollouts[r] {
 		return struct{}{}, nil
 	}
 	d.log.Warn("move withdrawn", "service", r.Service, "version", r.Version, "by", w.By)
@@ -197,11 +209,12 @@
 }
 
 // outcomeKey identifies an outcome to be written. baseRevision is the revision of
-// the service's current outcome record.
+// the service's current outcome record, and era that of the store.
 type outcomeKey struct {
 	service, version string
 	state            shifter.State
 	baseRevision     uint64
+	era              uint64
 }
 
 // writeOutcomes writes the outcomes of rollouts as they become due, until ctx
@@ -211,13 +224,10 @@
 	for ctx.Err() == nil {
 		sleep(ctx, outcomePeriod)
 		v := d.view.Load()
-		if v == nil || d.left.Load() {
+		if v == nil || d.left.Load() || !d.outcomesAreCurrent() {
 			continue
 		}
 		for service, s := range v.services {
-			if s.rollout == nil {
-				continue
-			}
 			if next, ok := d.nextOutcome(service, s); ok {
 				d.writeOutcome(ctx, next, s, waitingSince)
 			}
@@ -225,28 +235,37 @@
 	}
 }
 
+// outcomesAreCurrent reports whether the copy of the outcomes is of the store's present era. The
+// revisions of an earlier one are no condition for a write.
+func (d *Daemon) outcomesAreCurrent() bool {
+	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
+	return d.outcomes.Era == d.era()
+}
+
 // nextOutcome returns the outcome of a service's rollout that is to be written
-// now, if any.
+// now, if any. An outcome that the store has lost is written again.
 func (d *Daemon) nextOutcome(service string, s *serviceView) (shifter.Outcome, bool) {
 	d.stateMu.Lock()
+	defer d.stateMu.Unlock()
 	recorded := d.settled[service]
-	d.stateMu.Unlock()
-	if recorded.Ends(*s.rollout) {
-		return shifter.Outcome{}, false
-	}
-	next := shifter.Outcome{
-		Service: service,
-		Version: s.rollout.Version,
-		State:   shifter.Running,
+	lost := recorded.Item.Era < d.outcomes.Era && recorded.Item.Key != ""
+	next := recorded
+	next.Item.Version = d.outcomes.StoredVersion(recorded.Item.Key)
+	if s.rollout == nil || recorded.Ends(*s.rollout) {
+		return next, lost
 	}
-	next.Item.Version = recorded.Item.Version
+	state, ended := d.ended[*s.rollout]
+	next.Service, next.Version, next.State = service, s.rollout.Version, shifter.Running
 	switch {
+	case ended:
+		next.State = state
 	case s.withdrawn:
 		next.State = shifter.RolledBack
 	case len(s.canaries) > 0 && s.trial.Completes(*s.rollout, d.clock.Now(), s.results.Calls):
 		next.State = shifter.Completed
 	case recorded.BelongsTo(*s.rollout):
-		return shifter.Outcome{}, false
+		return next, lost
 	}
 	return next, true
 }
@@ -260,6 +279,7 @@
 		version:      o.Version,
 		state:        o.State,
 		baseRevision: o.Item.Version,
+		era:          d.era(),
 	}
 	since, ok := waitingSince[outcomeID]
 	if !ok {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -136,13 +136,18 @@
 	// settled holds the recorded outcomes of rollouts, by service. It is nil until they are
 	// known.
 	settled map[string]shifter.Outcome
+	// outcomes is the copy of the store that holds them.
+	outcomes follower.Copy
+	// ended holds the final states of the rollouts that are declared. They hold also if
+	// the store has lost their outcomes.
+	ended map[shifter.Rollout]shifter.State
 	// countsPublished is the Unix time at which the target's counts were last
 	// published, in nanoseconds.
 	countsPublished atomic.Int64
-	// trials holds the trials of rollouts, by the revision of their records.
-	trials map[uint64]shifter.Trial
-	// results holds the results of the rollouts that are declared, by revision.
-	results map[uint64]*shifter.Results
+	// trials holds the trials of rollouts, by the position of their records.
+	trials map[storer.Position]shifter.Trial
+	// results holds the results of the rollouts that are declared, by position.
+	results map[storer.Position]*shifter.Results
 	// baseline holds the version that serves each service's requests outside a
 	// rollout. badRollouts holds the rollouts whose version was found bad.
 	baseline    map[string]string
@@ -270,8 +275,9 @@
 		client:         linker.NewClient(s.Key, controlTimeout),
 		control:        linker.NewServer(s.Key),
 		chooser:        chooser.New(o.Clock),
-		trials:         map[uint64]shifter.Trial{},
-		results:        map[uint64]*shifter.Results{},
+		trials:         map[storer.Position]shifter.Trial{},
+		results:        map[storer.Position]*shifter.Results{},
+		ended:          map[shifter.Rollout]shifter.State{},
 		baseline:       map[string]string{},
 		badRollouts:    map[shifter.Rollout]bool{},
 		endedProcesses: map[targetProcess]bool{},
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -12,6 +12,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 	"github.com/coltsfootlane/coltsfootlane/internal/shifter"
+	"github.com/coltsfootlane/coltsfootlane/internal/storer"
 )
 
 // view is the immutable state by which requests are routed.
@@ -135,21 +136,44 @@
 	}
 	d.declared = declared
 	now := d.clock.Now()
-	current := map[uint64]bool{}
+	current := map[storer.Position]bool{}
 	for _, r := range declared.Rollouts {
-		current[r.Revision] = true
-		if _, recorded := d.trials[r.Revision]; !recorded {
-			d.trials[r.Revision] = shifter.NewTrial(now)
-			d.log.Info("move ordered", "service", r.Service, "version", r.Version, "period", r.Period, "revision", r.Revision)
+		current[r.Position()] = true
+		if old, ok := previous.Rollouts[r.Service]; ok && r.Repeats(old) {
+			d.continueRollout(old, r)
+		}
+		if _, recorded := d.trials[r.Position()]; !recorded {
+			d.trials[r.Position()] = shifter.NewTrial(now)
+			d.log.Info("move ordered", "service", r.Service, "version", r.Version, "period", r.Period, "era", r.Era, "revision", r.Revision)
 		}
 	}
-	maps.DeleteFunc(d.results, func(revision uint64, _ *shifter.Results) bool { return !current[revision] })
+	maps.DeleteFunc(d.results, func(p storer.Position, _ *shifter.Results) bool { return !current[p] })
+	maps.DeleteFunc(d.ended, func(r shifter.Rollout, _ shifter.State) bool { return !current[r.Position()] })
 	if previous.Evacuated[d.settings.DC] && !declared.Evacuated[d.settings.DC] {
 		d.gate.SuspectCold()
 	}
 	d.rebuild()
 }
 
+// continueRollout makes what is known of the rollout old that of r, which repeats it. The
+// caller holds stateMu.
+func (d *Daemon) continueRollout(old, r shifter.Rollout) {
+	d.log.Info("move written again", "service", r.Service, "version", r.Version, "era", r.Era, "revision", r.Revision)
+	if t, ok := d.trials[old.Position()]; ok {
+		d.trials[r.Position()] = t
+	}
+	if results, ok := d.results[old.Position()]; ok {
+		d.results[r.Position()] = results
+	}
+	if d.badRollouts[old] {
+		d.badRollouts[r] = true
+	}
+	if state, ok := d.ended[old]; ok {
+		d.ended[r] = state
+	}
+	d.judge.Continue(old, r)
+}
+
 // applyOutcomes applies the recorded outcomes of rollouts.
 func (d *Daemon) applyOutcomes(c follower.Copy) {
 	outcomes, failures := d.platform.DecodeOutcomes(c.Facts())
@@ -159,8 +183,9 @@
 	d.stateMu.Lock()
 	defer d.stateMu.Unlock()
 	for _, o := range outcomes {
-		d.log.Info("rollout outcome received", "service", o.Service, "version", o.Version, "state", o.State, "revision", o.Item.Version)
+		d.log.Info("rollout outcome received", "service", o.Service, "version", o.Version, "state", o.State, "era", o.Item.Era, "revision", o.Item.Version)
 	}
+	d.outcomes = c
 	d.setOutcomes(outcomes)
 }
 
@@ -258,10 +283,12 @@
 	s := &serviceView{}
 	if r, ok := d.declared.Rollouts[service]; ok {
 		s.rollout = &r
-		outcome, recorded := d.settled[service]
-		settled := recorded && outcome.Ends(r)
-		s.completed = settled && outcome.State == shifter.Completed
-		s.withdrawn = !s.completed && (d.badRollouts[r] || (settled && outcome.State == shifter.RolledBack))
+		if outcome, ok := d.settled[service]; ok && (outcome.Ends(r) || outcome.Satisfies(r)) {
+			d.ended[r] = outcome.State
+		}
+		state, ended := d.ended[r]
+		s.completed = ended && state == shifter.Completed
+		s.withdrawn = !s.completed && (d.badRollouts[r] || (ended && state == shifter.RolledBack))
 		for _, m := range members {
 			if m.Target.Withdrawn && m.Target.Version == r.Version && !s.completed && !s.withdrawn {
 				d.badRollouts[r] = true
@@ -286,8 +313,8 @@
 	if s.rollout != nil {
 		results := d.resultsOf(*s.rollout, all)
 		s.results = results.Total()
-		s.trial = d.trials[s.rollout.Revision].With(*s.rollout, d.clock.Now(), len(s.canaries) > 0, s.results.Calls)
-		d.trials[s.rollout.Revision] = s.trial
+		s.trial = d.trials[s.rollout.Position()].With(*s.rollout, d.clock.Now(), len(s.canaries) > 0, s.results.Calls)
+		d.trials[s.rollout.Position()] = s.trial
 		if !s.completed && !s.withdrawn && results.Bad(d.chooser.FaultRate(s.targets)) {
 			s.withdrawn = true
 			d.log.Warn("version found bad by the results of all its targets", "service", service, "version", s.rollout.Version)
