sidecar: departures that the store has lost are written again

Callers saw: requests reached a target later than its acknowledged leave, once all daemons had restarted.

Cause: the departure is in the store before the report is acknowledged, and the store loses it when it comes back from an older copy. The daemon took it for stored for good.

Change: a daemon that sees a later era reads its target's departures and writes those that are missing, and looks once more after 10 s, since a call from before may be executed late. A report that arrives meanwhile is acknowledged when the departure is stored in the present era. After a second relays write those of daemons that are gone, which the other daemons know from the members' entries. Old departures are removed only if they were seen twice in one era.

--- a/internal/sidecar/departurelog.go
+++ b/internal/sidecar/departurelog.go
@@ -10,6 +10,10 @@
 // maxDepartures is the number of departures that are kept for one target.
 const maxDepartures = 4
 
+// lateCallTime is the time after the store's return from an older copy within which it may
+// execute calls that were sent before.
+const lateCallTime = 10 * time.Second
+
 // departure records that processes of a daemon's target leave or have left.
 type departure struct {
 	Instance string `json:"instance"`
@@ -28,9 +32,14 @@
 	stored chan struct{}
 	// due receives a value when an entry is added.
 	due chan struct{}
-	// version is that of the store's key, if synced is set. Only writeDepartures uses them.
+	// version is that of the store's key in the era, if synced is set. Only writeDepartures
+	// uses them.
 	version uint64
+	era     uint64
 	synced  bool
+	// lateCheck receives a value when a call that was sent before the era may have changed
+	// the key. It is nil in the first era.
+	lateCheck <-chan time.Time
 }
 
 // add adds a departure.
@@ -40,15 +49,48 @@
 	if !l.merge(e) {
 		return
 	}
-	if l.stored == nil || isClosed(l.stored) {
-		l.stored = make(chan struct{})
-	}
+	l.reopen()
+	l.signal()
+}
+
+// signal makes writeDepartures look at the log.
+func (l *departureLog) signal() {
 	select {
 	case l.due <- struct{}{}:
 	default:
 	}
 }
 
+// reopen marks the entries as missing in the store. The caller holds the lock.
+func (l *departureLog) reopen() {
+	if l.stored == nil || isClosed(l.stored) {
+		l.stored = make(chan struct{})
+	}
+}
+
+// beginEra makes the next synchronization read the entries and write those that are missing,
+// if the store has begun another era.
+func (l *departureLog) beginEra(era uint64) {
+	if l.era == era {
+		return
+	}
+	if l.era != 0 {
+		l.lateCheck = time.After(lateCallTime)
+	}
+	l.era = era
+	l.recheck()
+}
+
+// recheck makes the next synchronization read the entries and write those that are missing.
+func (l *departureLog) recheck() {
+	l.synced = false
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.entries) > 0 {
+		l.reopen()
+	}
+}
+
 // merge adds a departure unless it is known, and drops the oldest ones beyond maxDepartures.
 // It reports whether it has added it. The caller holds the lock.
 func (l *departureLog) merge(e departure) bool {
--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -36,10 +36,12 @@
 		case err == nil:
 			select {
 			case <-d.departures.due:
+			case <-d.departures.lateCheck:
+				d.departures.recheck()
 			case <-ctx.Done():
 			}
-		case errors.Is(err, storer.ErrConflict):
-			d.log.Info("departures were changed in the store; reading them again")
+		case errors.Is(err, storer.ErrConflict), errors.Is(err, errRestored):
+			d.log.Info("departures were changed in the store; reading them again", "err", err)
 		case ctx.Err() == nil:
 			d.incrementCounter("departure.failed")
 			d.log.Warn("departures not stored or not read", "took", d.clock.Now().Sub(startTime), "err", err)
@@ -77,6 +79,7 @@
 // are missing there.
 func (d *Daemon) syncDepartures(ctx context.Context) error {
 	l := &d.departures
+	l.beginEra(d.era())
 	var known []byte
 	if !l.synced {
 		item, err := d.platform.Store.Get(ctx, d.departureKey())
@@ -106,10 +109,17 @@
 		d.incrementCounter("departure.stored")
 		d.log.Info("departure stored", "instance", entries[len(entries)-1].Instance, "took", d.clock.Now().Sub(startTime))
 	}
+	d.observeStoreEra()
+	if l.era != d.era() {
+		return errRestored
+	}
 	l.setStored(entries)
 	return nil
 }
 
+// errRestored means that the store has begun another era during calls that belong together.
+var errRestored = Class.New("store has come back from an older copy")
+
 // decodeDepartures decodes the departures of an item of the store.
 func (d *Daemon) decodeDepartures(i storer.Item) []departure {
 	if i.Version == 0 {
@@ -182,11 +192,48 @@
 	return d.departuresUnreadable && sameProcess && a.Sequence > held.Sequence
 }
 
+// ownRewriteTime is the time that daemons have to write their targets' departures again before
+// relays do it for those that are gone.
+const ownRewriteTime = time.Second
+
+// writeDeparturesOfOthers writes the departures of the other daemons' targets that the store
+// has lost. Their daemons may be gone, and know nothing of them after a restart.
+func (d *Daemon) writeDeparturesOfOthers(ctx context.Context) {
+	sleep(ctx, ownRewriteTime)
+	left := d.leaving.all()
+	if len(left) == 0 || !d.isRelay() || ctx.Err() != nil {
+		return
+	}
+	result, err := d.platform.Store.Range(ctx, d.platform.DeparturePrefix)
+	if err != nil {
+		d.log.Warn("departures not read", "err", err)
+		return
+	}
+	stored := map[string]storer.Item{}
+	for _, c := range result.Changes {
+		stored[c.Key] = c.Item
+	}
+	for _, m := range left {
+		key := d.platform.DeparturePrefix + m.ID
+		log := departureLog{entries: d.decodeDepartures(stored[key])}
+		if m.ID == d.settings.Name || !log.merge(departureOf(*m.Target)) {
+			continue
+		}
+		value, err := json.Marshal(log.entries)
+		if err != nil {
+			d.log.Error("departure not encoded", "vm", m.ID, "err", err)
+			continue
+		}
+		_, err = d.platform.Store.PutIf(ctx, key, value, stored[key].Version, "")
+		d.log.Info("departure of another daemon's target written again", "peer", m.ID, "instance", m.Target.Instance, "err", err)
+	}
+}
+
 // expireDepartures removes old departures from the store until ctx ends. Relays do that for
 // all daemons, because a VM that is gone for good does not remove its own. It does not rely on
 // the time of day, which may be wrong.
 func (d *Daemon) expireDepartures(ctx context.Context) {
-	var seen map[string]uint64
+	var seen map[string]storer.Position
 	for ctx.Err() == nil {
 		sleep(ctx, departureRetention)
 		if ctx.Err() == nil && d.isRelay() {
@@ -195,18 +242,18 @@
 	}
 }
 
-// removeOldDepartures removes the keys that have the versions seen by an earlier call, and
-// returns the versions of the others.
-func (d *Daemon) removeOldDepartures(ctx context.Context, seen map[string]uint64) map[string]uint64 {
+// removeOldDepartures removes the keys that have the positions seen by an earlier call, and
+// returns the positions of the others.
+func (d *Daemon) removeOldDepartures(ctx context.Context, seen map[string]storer.Position) map[string]storer.Position {
 	result, err := d.platform.Store.Range(ctx, d.platform.DeparturePrefix)
 	if err != nil {
 		d.log.Warn("departures not read", "err", err)
 		return seen
 	}
-	others := map[string]uint64{}
+	others := map[string]storer.Position{}
 	for _, c := range result.Changes {
-		if seen[c.Key] != c.Version {
-			others[c.Key] = c.Version
+		if seen[c.Key] != c.Position() {
+			others[c.Key] = c.Position()
 			continue
 		}
 		if err := d.platform.Store.DeleteIf(ctx, c.Key, c.Version); err != nil {
--- a/internal/sidecar/eras.go
+++ b/internal/sidecar/eras.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -55,8 +56,8 @@
 }
 
 // observeEra handles an era that a daemon has seen at a time. In a later one than before, the
-// store has lost its newest changes and leases: the watches start again, and the daemon
-// registers again.
+// store has lost its newest changes and leases: the watches start again, the daemon
+// registers again, and writes the departures of its target again.
 func (d *Daemon) observeEra(era uint64, seen time.Time) {
 	before, restored := d.eras.add(era, seen)
 	if !restored {
@@ -66,6 +67,8 @@
 	d.log.Warn("store has come back from an older copy", "era", era, "before", before)
 	d.restartWatches()
 	d.signalStoreRecovery()
+	d.departures.signal()
+	go d.writeDeparturesOfOthers(context.Background())
 	d.triggerRelayUpdate()
 }
 
--- a/internal/sidecar/eras_test.go
+++ b/internal/sidecar/eras_test.go
@@ -220,11 +220,67 @@
 	if _, since := d.eras.current(); d.era() != 5 || d.clock.Now().Sub(since) != 3*time.Second {
 		t.Errorf("era %d since %v, want 5 since 3 s ago", d.era(), since)
 	}
-	if len(d.storeRecovered) != 1 {
-		t.Error("the daemon does not register again")
+	if len(d.storeRecovered) != 1 || len(d.departures.due) != 1 {
+		t.Error("the daemon does not register again, or does not look at its departures")
 	}
 	update(4)
 	if d.era() != 5 {
 		t.Errorf("era %d after an update of an earlier one, want 5", d.era())
 	}
 }
+
+// TestDepartureIsStoredAgain guards against an acknowledged departure that only the lost part of
+// the store had.
+func TestDepartureIsStoredAgain(t *testing.T) {
+	m := newDepartureMesh()
+	d := m.start()
+	d.platform.Store.Era = func() uint64 { return 0 }
+	d.eras.add(1, m.clock.Now())
+	d.handleAnnouncement(Announcement{Instance: "i-1", Leaving: true})
+	syncStore(t, d, false)
+	d.observeEra(2, m.clock.Now())
+	item, err := d.platform.Store.Get(t.Context(), d.departureKey())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := d.platform.Store.DeleteIf(t.Context(), item.Key, item.Version); err != nil {
+		t.Fatal(err)
+	}
+	syncStore(t, d, false)
+	if item, err := d.platform.Store.Get(t.Context(), d.departureKey()); err != nil || len(d.decodeDepartures(item)) != 1 {
+		t.Errorf("departures %q, error %v; want that of i-1", item.Value, err)
+	}
+}
+
+// TestDepartureOfGoneDaemonIsStoredAgain guards against a departure that nobody writes again
+// because the target's daemon is gone.
+func TestDepartureOfGoneDaemonIsStoredAgain(t *testing.T) {
+	m := newDepartureMesh()
+	d := m.start()
+	d.members.Merge(prober.Member{
+		ID:          "martin-1",
+		DC:          "martin",
+		Incarnation: 1,
+		Status:      prober.Left,
+		Target: &prober.Target{
+			Service:   "renewal",
+			Version:   "v1",
+			Draining:  true,
+			Instance:  "i-2",
+			StartedAt: 100,
+		},
+	})
+	d.leaving.record(d.members.All())
+	d.platform.Store.Range = func(context.Context, string) (storer.RangeResult, error) {
+		return storer.RangeResult{}, nil
+	}
+	d.writeDeparturesOfOthers(t.Context())
+	item, err := d.platform.Store.Get(t.Context(), "departures/martin-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []departure{{Instance: "i-2", Start: 100}}
+	if got := d.decodeDepartures(item); !slices.Equal(got, want) {
+		t.Errorf("departures %v, want %v", got, want)
+	}
+}
--- a/internal/sidecar/leaving.go
+++ b/internal/sidecar/leaving.go
@@ -47,6 +47,21 @@
 	return m, ok
 }
 
+// all returns the last entries of the members in which their targets were leaving.
+func (l *leavingMembers) all() []prober.Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Values(l.entries))
+}
+
+// departureOf returns the departure of a target that was leaving.
+func departureOf(t prober.Target) departure {
+	return departure{
+		Instance: t.Instance,
+		Start:    t.StartedAt,
+	}
+}
+
 // sendLeavingEntry sends a daemon the last entry from before its restart in which its target
 // was leaving, if any.
 func (d *Daemon) sendLeavingEntry(m prober.Member) {
@@ -79,8 +94,5 @@
 	}
 	d.log.Info("target was leaving before the restart", "instance", t.Instance)
 	d.endedProcesses[process] = true
-	d.endProcesses(departure{
-		Instance: t.Instance,
-		Start:    t.StartedAt,
-	})
+	d.endProcesses(departureOf(*t))
 }
