soaker: the store comes back from an older copy

Cause: the soak's store lost nothing that it had acknowledged, so no seed could show what such a loss does.

Change: an event brings the store back from a copy that is older by the event's length, 0.1 to 3 s, after an outage of 0.5 s; the operators write again what they had written a second later. It has a random source of its own, as the endless kinds have, so that the other events of a seed stay.

--- a/internal/soaker/events.go
+++ b/internal/soaker/events.go
@@ -32,7 +32,8 @@
 	// without a response, StoreRefuse responds with status 503, StoreSlow delays
 	// responses, StoreLoseResponses applies changes without a response,
 	// StoreRevokeLeases revokes all leases, StorePauseLeases keeps leases from
-	// expiring, and StoreCompact compacts the history.
+	// expiring, StoreCompact compacts the history, and StoreRestore brings the store back
+	// from a copy that is older by the event's length.
 	StoreUnresponsive  Kind = "store unresponsive"
 	StoreRefuse        Kind = "store responds with 503"
 	StoreSlow          Kind = "store slow"
@@ -40,6 +41,7 @@
 	StoreRevokeLeases  Kind = "store revokes all leases"
 	StorePauseLeases   Kind = "store stops expiring leases"
 	StoreCompact       Kind = "store compacts its history"
+	StoreRestore       Kind = "store comes back from an older copy"
 	// Crash, Drain, Slow, Fail, LoseResponses, Shed, EndlessHeads and EndlessBodies
 	// are faults and state changes of a target. LoseResponses closes connections in
 	// place of a response, and Shed rejects requests with status 503. The responses
@@ -137,6 +139,8 @@
 	meanEventGap = 400 * time.Millisecond
 	// meanEndlessGap is the mean time between two events of the endless kinds.
 	meanEndlessGap = 8 * time.Second
+	// meanRestoreGap is the mean time between two events of the kind StoreRestore.
+	meanRestoreGap = 10 * time.Second
 	// minEventLength and maxEventLength are the limits of an event's length.
 	minEventLength = 100 * time.Millisecond
 	maxEventLength = 3 * time.Second
@@ -199,7 +203,8 @@
 		}
 		events = append(events, e)
 	}
-	events = append(events, generateEndless(seed, nodes, length)...)
+	events = append(events, generateSeparate(seed, 2, nodes, length, meanEndlessGap, EndlessHeads, EndlessBodies)...)
+	events = append(events, generateSeparate(seed, 3, nodes, length, meanRestoreGap, StoreRestore)...)
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
@@ -219,13 +224,13 @@
 	}
 }
 
-// generateEndless returns the events of the endless kinds. They have a random source
-// of their own, so that the other events of a seed do not depend on them.
-func generateEndless(seed uint64, nodes int, length time.Duration) []Event {
-	random := rand.New(rand.NewPCG(seed, 2))
+// generateSeparate returns events of some kinds. They have a random source of their own, so that
+// the other events of a seed do not depend on them.
+func generateSeparate(seed, stream uint64, nodes int, length, meanGap time.Duration, kinds ...Kind) []Event {
+	random := rand.New(rand.NewPCG(seed, stream))
 	var events []Event
 	for at := time.Duration(0); ; {
-		at += time.Duration(random.ExpFloat64() * float64(meanEndlessGap))
+		at += time.Duration(random.ExpFloat64() * float64(meanGap))
 		if at >= length {
 			return events
 		}
@@ -233,7 +238,7 @@
 			At:     at,
 			Length: minEventLength + time.Duration(random.Float64()*float64(maxEventLength-minEventLength)),
 			Node:   random.IntN(nodes),
-			Kind:   []Kind{EndlessHeads, EndlessBodies}[random.IntN(2)],
+			Kind:   kinds[random.IntN(len(kinds))],
 		})
 	}
 }
--- a/internal/soaker/events_test.go
+++ b/internal/soaker/events_test.go
@@ -57,7 +57,7 @@
 	for _, k := range []soaker.Kind{
 		soaker.Kill, soaker.Pause, soaker.Stop, soaker.Reload,
 		soaker.Delay, soaker.Reset, soaker.StallBoth, soaker.StallRequests, soaker.StallResponses,
-		soaker.StoreUnresponsive, soaker.StoreRefuse, soaker.StoreSlow, soaker.StoreLoseResponses, soaker.StoreRevokeLeases, soaker.StorePauseLeases, soaker.StoreCompact,
+		soaker.StoreUnresponsive, soaker.StoreRefuse, soaker.StoreSlow, soaker.StoreLoseResponses, soaker.StoreRevokeLeases, soaker.StorePauseLeases, soaker.StoreCompact, soaker.StoreRestore,
 		soaker.Crash, soaker.Drain, soaker.Slow, soaker.Fail, soaker.LoseResponses, soaker.Shed, soaker.EndlessHeads, soaker.EndlessBodies,
 		soaker.Declare, soaker.Evacuate, soaker.Move,
 	} {
--- a/internal/soaker/run.go
+++ b/internal/soaker/run.go
@@ -55,6 +55,8 @@
 		s.store.Revoke()
 	case StoreCompact:
 		s.store.Compact()
+	case StoreRestore:
+		s.restoreStore(e.Length)
 	case StoreUnresponsive, StoreRefuse, StoreSlow, StoreLoseResponses, StorePauseLeases:
 		s.adjustStoreFault(e.Kind, 1)
 		time.Sleep(e.Length)
@@ -125,6 +127,25 @@
 	s.store.SetFaults(f)
 }
 
+// Times of a StoreRestore event. The store is away for restoreOutage, and the operators write
+// again what it has lost after rewriteDelay.
+const (
+	restoreOutage = 500 * time.Millisecond
+	rewriteDelay  = time.Second
+)
+
+// restoreStore brings the store back from a copy of the given age.
+func (s *soak) restoreStore(age time.Duration) {
+	backup := s.store.Backup()
+	time.Sleep(age)
+	s.adjustStoreFault(StoreRefuse, 1)
+	time.Sleep(restoreOutage)
+	lost := s.store.Restore(backup)
+	s.adjustStoreFault(StoreRefuse, -1)
+	time.Sleep(rewriteDelay)
+	s.store.WriteAgain(lost)
+}
+
 // startMove requests a move of the main service to the next version and
 // replaces every second target of the service by one of that version.
 func (s *soak) startMove(badVersion bool) {
