follower: lost values that the receiver has are left out

Cause: every daemon gets the losses from its relays, some more than once until all agree on them. A lost plan of some hundred kilobytes would go over each link as often, and a configuration at a stop has filled narrow links before.

Change: a request names the hashes of the values that the requester has; they are left out of the losses and filled in by the receiver, which asks for the whole copy if it lacks one. Sizes in logs and counters include the losses.

Evidence: TestLossesLeaveOutKnownValues: a copy with a lost record of 256 KiB of random bytes takes at most 4 KiB for a daemon that has it. By the design before it took the whole record (read in the code, not measured).

--- a/internal/follower/codec.go
+++ b/internal/follower/codec.go
@@ -45,6 +45,9 @@
 	Losses []byte `json:"losses,omitempty"`
 }
 
+// Size returns the size of the items and the losses in compressed form, in bytes.
+func (p PackedCopy) Size() int64 { return int64(len(p.Data) + len(p.Losses)) }
+
 // Digest identifies the items of the copy by their era, keys and versions.
 func (c Copy) Digest() string {
 	var b []byte
@@ -66,18 +69,23 @@
 		return PackedCopy{}, Class.Wrap(err)
 	}
 	return PackedCopy{
-		Mark:   c.Mark(),
-		Data:   compressor.Append(nil, data),
-		Losses: c.Lost.pack(),
-	}, nil
+		Mark: c.Mark(),
+		Data: compressor.Append(nil, data),
+	}.WithLosses(c.Lost)
 }
 
-// pack returns the losses as JSON, compressed, or nil if there are none.
-func (l Losses) pack() []byte {
+// WithLosses returns the packed copy with other losses of the same mark.
+func (p PackedCopy) WithLosses(l Losses) (PackedCopy, error) {
+	p.Losses = nil
 	if l.isZero() {
-		return nil
+		return p, nil
+	}
+	data, err := json.Marshal(l)
+	if err != nil {
+		return PackedCopy{}, Class.Wrap(err)
 	}
-	return compressor.Append(nil, l.encode())
+	p.Losses = compressor.Append(nil, data)
+	return p, nil
 }
 
 // PackSince compresses the copy for a daemon that has base, which may be empty. What
@@ -86,18 +94,17 @@
 	p := PackedCopy{
 		Mark:     c.Mark(),
 		Encoding: binaryEncoding,
-		Losses:   c.Lost.pack(),
 	}
 	if len(base.Items) == 0 {
 		p.Data = compressor.Append(nil, c.encode())
-		return p, nil
+		return p.WithLosses(c.Lost)
 	}
 	data, err := compressor.CompressSince(base.encode(), c.encode())
 	if err != nil {
 		return PackedCopy{}, Class.Wrap(err)
 	}
 	p.Base, p.Data = base.Digest(), data
-	return p, nil
+	return p.WithLosses(c.Lost)
 }
 
 // Unpack decompresses and decodes a copy that has no base. It fails if the data is
@@ -107,15 +114,18 @@
 }
 
 // UnpackSince is like Unpack. base must be the copy with the digest p.Base, if that is
-// set; with any other, UnpackSince fails.
+// set; with any other, UnpackSince fails. Its facts must have the values that were left out of the
+// losses.
 func (p PackedCopy) UnpackSince(base Copy) (Copy, error) {
 	c := Copy{
 		Era:      p.Era,
 		Revision: p.Revision,
 	}
-	if err := p.unpackLosses(&c.Lost); err != nil {
+	lost, err := p.unpackLosses(base)
+	if err != nil {
 		return Copy{}, Class.Wrap(err)
 	}
+	c.Lost = lost
 	data, err := p.decompress(base)
 	if err != nil {
 		return Copy{}, Class.Wrap(err)
@@ -134,16 +144,19 @@
 	return c, nil
 }
 
-// unpackLosses decodes the losses, if any.
-func (p PackedCopy) unpackLosses(l *Losses) error {
+// unpackLosses decodes the losses, if any, for a daemon that has base.
+func (p PackedCopy) unpackLosses(base Copy) (l Losses, err error) {
 	if len(p.Losses) == 0 {
-		return nil
+		return Losses{}, nil
 	}
 	data, err := decompressor.Decompress(p.Losses)
 	if err != nil {
-		return err
+		return Losses{}, err
+	}
+	if err := json.Unmarshal(data, &l); err != nil {
+		return Losses{}, err
 	}
-	return json.Unmarshal(data, l)
+	return l.fill(base.Facts())
 }
 
 // decompress returns the encoded items.
--- a/internal/follower/lost.go
+++ b/internal/follower/lost.go
@@ -2,8 +2,9 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -23,6 +24,8 @@
 	// Settled means that the key has changed in the present era, so the entry no longer
 	// counts. It is kept because other daemons may not know of that change.
 	Settled bool `json:",omitempty"`
+	// Omitted is the hash of the value if that was left out for a receiver that has it.
+	Omitted uint64 `json:",omitempty"`
 }
 
 // counts reports whether the entry is the state of its key, given the version of the
@@ -54,21 +57,64 @@
 	if l.isZero() {
 		return ""
 	}
-	sum := sha256.Sum256(l.encode())
+	var b []byte
+	for _, n := range []uint64{l.AsOf.Era, l.AsOf.Revision, l.Since} {
+		b = binary.AppendUvarint(b, n)
+	}
+	for _, e := range l.Entries {
+		b = appendBytes(b, []byte(e.Key))
+		for _, n := range []uint64{e.Era, e.Version, e.Hides, xxhash.Sum64(e.Value)} {
+			b = binary.AppendUvarint(b, n)
+		}
+		b = fmt.Append(b, e.Deleted, e.Settled)
+	}
+	sum := sha256.Sum256(b)
 	return hex.EncodeToString(sum[:16])
 }
 
-func (l Losses) isZero() bool { return l.AsOf == storer.Position{} && len(l.Entries) == 0 }
+// Without returns the losses without the values whose hashes are given.
+func (l Losses) Without(known []uint64) Losses {
+	l.Entries = slices.Clone(l.Entries)
+	for i, e := range l.Entries {
+		if h := xxhash.Sum64(e.Value); len(e.Value) > 0 && slices.Contains(known, h) {
+			l.Entries[i].Value, l.Entries[i].Omitted = nil, h
+		}
+	}
+	return l
+}
+
+// fill returns the losses with the values that were left out, which it takes from items. It
+// fails if one is missing.
+func (l Losses) fill(items []storer.Item) (Losses, error) {
+	values := map[uint64][]byte{}
+	for _, i := range items {
+		values[xxhash.Sum64(i.Value)] = i.Value
+	}
+	l.Entries = slices.Clone(l.Entries)
+	for i, e := range l.Entries {
+		if e.Omitted == 0 {
+			continue
+		}
+		value, ok := values[e.Omitted]
+		if !ok {
+			return Losses{}, Class.New("no value for %q", e.Key)
+		}
+		l.Entries[i].Value, l.Entries[i].Omitted = value, 0
+	}
+	return l, nil
+}
 
-// encode returns the contents as JSON.
-func (l Losses) encode() []byte {
-	data, err := json.Marshal(l)
-	if err != nil {
-		panic(err) // strings, numbers and bytes can be encoded
+// ValueHashes returns the hashes of the facts' values, for Losses.Without.
+func (c Copy) ValueHashes() []uint64 {
+	var hashes []uint64
+	for _, i := range c.Facts() {
+		hashes = append(hashes, xxhash.Sum64(i.Value))
 	}
-	return data
+	return hashes
 }
 
+func (l Losses) isZero() bool { return l.AsOf == storer.Position{} && len(l.Entries) == 0 }
+
 // merge returns the losses that l and o know of together, given the store's items of
 // the latest revision that both know.
 func (l Losses) merge(o Losses, items []storer.Item) Losses {
--- a/internal/follower/lost_test.go
+++ b/internal/follower/lost_test.go
@@ -1,8 +1,10 @@
 package follower_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -204,6 +206,45 @@
 	})
 }
 
+// TestLossesLeaveOutKnownValues guards against large records that fill links because every daemon
+// gets them again, although it has them.
+func TestLossesLeaveOutKnownValues(t *testing.T) {
+	large := make([]byte, 256<<10)
+	for i := range large {
+		large[i] = byte(rand.IntN(256))
+	}
+	before := copyOf(1, 9)
+	before.Items = []storer.Item{{
+		Key:     "op/config",
+		Value:   large,
+		Version: 8,
+	}}
+	sender, receiver, starter := newFollower(before, copyOf(2, 5)), newFollower(before), newFollower()
+	c, _ := sender.Copy()
+	known, _ := receiver.Copy()
+	packed, err := c.PackSince(known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if packed, err = packed.WithLosses(c.Lost.Without(known.ValueHashes())); err != nil {
+		t.Fatal(err)
+	}
+	if size := packed.Size(); size > 4<<10 {
+		t.Errorf("%d bytes for a daemon that has the value, want at most 4096", size)
+	}
+	if _, err := packed.UnpackSince(follower.Copy{}); err == nil {
+		t.Error("a copy that lacks a value was decoded without it")
+	}
+	got, err := packed.UnpackSince(known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	starter.Offer(got)
+	if f, _ := starter.Copy(); len(f.Facts()) != 1 || !bytes.Equal(f.Facts()[0].Value, large) || f.Mark() != c.Mark() {
+		t.Errorf("copy with the mark %+v, want %+v with the lost record", f.Mark(), c.Mark())
+	}
+}
+
 // TestForgetLosses checks that facts which nobody writes again end, and don't come back from
 // daemons that still have them.
 func TestForgetLosses(t *testing.T) {
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -15,6 +15,9 @@
 	// packed. Daemons of older versions send none; they understand only whole copies
 	// of JSON.
 	Base string `json:"base,omitempty"`
+	// Values holds the hashes of the values that the requester has, if the store has eras.
+	// They are left out of the losses in the response.
+	Values []uint64 `json:"values,omitempty"`
 }
 
 // fetchAnnouncedCopy fetches the copy that a relay update announces. It returns at once
@@ -37,10 +40,13 @@
 		Mark:   current.Mark(),
 		Base:   current.Digest(),
 	}
+	if current.Era > 0 {
+		q.Values = current.ValueHashes()
+	}
 	if d.fetchCopySince(ctx, f, address, q, current) {
 		return
 	}
-	q.Base = ""
+	q.Base, q.Values = "", nil
 	d.fetchCopySince(ctx, f, address, q, follower.Copy{})
 }
 
@@ -70,7 +76,7 @@
 	d.time("copy.fetch", took)
 	if f.Offer(c) {
 		d.log.Info("newer records fetched from peer", "peer", address, "prefix", f.Prefix, "era", c.Era, "revision", c.Revision, "lost", len(c.Lost.Entries),
-			"bytes", len(packed.Data), "whole", packed.Base == "", "took", took)
+			"bytes", packed.Size(), "whole", packed.Base == "", "took", took)
 	}
 	return true
 }
@@ -81,6 +87,9 @@
 	for _, f := range d.followers() {
 		if c, ok := f.Copy(); ok && f.Prefix == q.Prefix && q.Lacks(c.Mark()) {
 			p, err := d.packCopy(f, c, q.Base)
+			if err == nil && len(q.Values) > 0 {
+				p, err = p.WithLosses(c.Lost.Without(q.Values))
+			}
 			if err == nil {
 				d.countCopy(p)
 			}
@@ -127,7 +136,7 @@
 		}
 	}
 	d.packed[key] = p
-	d.log.Info("records packed for peers", "prefix", f.Prefix, "era", c.Era, "revision", c.Revision, "bytes", len(p.Data),
+	d.log.Info("records packed for peers", "prefix", f.Prefix, "era", c.Era, "revision", c.Revision, "bytes", p.Size(),
 		"whole", p.Base == "")
 	return p, nil
 }
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -46,8 +46,8 @@
 	if p.Base == "" {
 		d.incrementCounter("copy.sentwhole")
 	}
-	metrics.GetOrRegisterCounter("copy.sentbytes", d.metrics).Inc(int64(len(p.Data)))
-	metrics.GetOrRegisterHistogram("copy.bytes", d.metrics, metrics.NewUniformSample(copySamples)).Update(int64(len(p.Data)))
+	metrics.GetOrRegisterCounter("copy.sentbytes", d.metrics).Inc(p.Size())
+	metrics.GetOrRegisterHistogram("copy.bytes", d.metrics, metrics.NewUniformSample(copySamples)).Update(p.Size())
 }
 
 // observeRequest counts and logs the result of a client's request.
