soaker: a calm drill of the store's return, whose violations the other faults can't excuse

Change: after the events, with no other fault, an evacuation and a configuration are written 200 revisions after a backup, the store comes back from it, the operators write again, and declare another configuration. It has to be in force within config_ms after contact_ms, and the evacuated zone must get nothing, also before it is written again.

--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -43,6 +43,42 @@
 	s.store.Evacuate(zone, false)
 }
 
+// checkRestore brings the store back from an older copy while nothing else disturbs the daemons.
+// It records a violation if a daemon does not handle requests by a configuration that is
+// declared after that, or if an evacuation that the store has lost does not stay in force.
+func (s *soak) checkRestore() {
+	zone := zones[s.options.Seed%uint64(len(zones))]
+	backup := s.store.Backup()
+	for i := range lostWrites {
+		s.store.Put("other/key", []byte{byte(i)})
+	}
+	s.store.Evacuate(zone, true)
+	s.declareConfig()
+	time.Sleep(evacuationTimeout)
+	before := s.arrivalsIn(zone)
+	lost := s.bringBack(backup)
+	time.Sleep(rewriteDelay)
+	s.store.WriteAgain(lost)
+	s.declareConfig()
+	s.checkRecovery("return", time.Now().Add(contactTime+configTimeout))
+	if n := s.arrivalsIn(zone) - before; n > 0 {
+		s.ledger.AddViolation("evacuation: %d requests reached targets in %s, whose evacuation the store had lost", n, zone)
+	}
+	s.store.Evacuate(zone, false)
+}
+
+// arrivalsIn returns the number of requests that have reached the running targets of a zone.
+func (s *soak) arrivalsIn(zone string) int {
+	total := 0
+	for _, n := range s.nodes {
+		if n.zone == zone {
+			_, count := n.arrivalCount()
+			total += count
+		}
+	}
+	return total
+}
+
 // stopAll stops all daemons at the same time and waits until they have ended.
 func (s *soak) stopAll() {
 	var stops sync.WaitGroup
--- a/internal/soaker/run.go
+++ b/internal/soaker/run.go
@@ -138,14 +138,20 @@
 func (s *soak) restoreStore(age time.Duration) {
 	backup := s.store.Backup()
 	time.Sleep(age)
-	s.adjustStoreFault(StoreRefuse, 1)
-	time.Sleep(restoreOutage)
-	lost := s.store.Restore(backup)
-	s.adjustStoreFault(StoreRefuse, -1)
+	lost := s.bringBack(backup)
 	time.Sleep(rewriteDelay)
 	s.store.WriteAgain(lost)
 }
 
+// bringBack takes the store away and brings it back from a backup. It returns what the
+// operators have to write again.
+func (s *soak) bringBack(b emulator.Backup) emulator.OperatorWrites {
+	s.adjustStoreFault(StoreRefuse, 1)
+	defer s.adjustStoreFault(StoreRefuse, -1)
+	time.Sleep(restoreOutage)
+	return s.store.Restore(b)
+}
+
 // startMove requests a move of the main service to the next version and
 // replaces every second target of the service by one of that version.
 func (s *soak) startMove(badVersion bool) {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -78,6 +78,12 @@
 	evacuationTimeout = 5 * time.Second
 	// evacuationCheckTime is how long an evacuated zone is checked for requests.
 	evacuationCheckTime = time.Second
+	// configTimeout is the time after which a declared configuration is in force, and
+	// contactTime that after a disturbance from which the limits hold.
+	configTimeout = 2 * time.Second
+	contactTime   = 3 * time.Second
+	// lostWrites is the number of writes by others that a restored store has lost.
+	lostWrites = 200
 	// recoveryResponses is the number of consecutive successful responses on each
 	// route that show a daemon's recovery.
 	recoveryResponses = 10
@@ -196,6 +202,7 @@
 	s.clearFaults()
 	s.checkRecovery("end", time.Now().Add(recoveryTimeout))
 	s.checkRegistrations()
+	s.checkRestore()
 	s.checkEvacuation()
 	s.stopAll()
 	stop()
