sidecar: no second read of the departures, and no fetch of an empty copy, at a start

Cause: the first response names the first era, which looked like a return of the store to the daemon's departures: one more read when the next departure was due. A daemon without a copy asked senders of updates that had none either.

Change: the first era that is seen is the one in which the departures were read; an update without a mark has nothing that a daemon lacks.

Evidence: TestDeparturesAreReadOnceAtStart fails without the change (2 reads).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -187,7 +187,7 @@
 	if f.forgotten != 0 && f.forgotten == m.Era {
 		m.Lost = ""
 	}
-	return !f.hasCopy || f.current.Mark().Lacks(m)
+	return f.current.Mark().Lacks(m)
 }
 
 // replace makes c the current copy and calls OnChange if its era or its facts differ. f.mu
--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -23,6 +23,9 @@
 	departureRetention = 10 * time.Minute
 )
 
+// errRestored means that the store has begun another era during calls that belong together.
+var errRestored = Class.New("store has come back from an older copy")
+
 // departureKey returns the key of the local target's departures.
 func (d *Daemon) departureKey() string { return d.platform.DeparturePrefix + d.settings.Name }
 
@@ -87,6 +90,9 @@
 			return err
 		}
 		l.version, l.synced, known = item.Version, true, item.Value
+		if d.observeStoreEra(); l.era == 0 {
+			l.era = d.era()
+		}
 		d.applyDepartures(d.decodeDepartures(item))
 	}
 	entries, stored := l.pending()
@@ -117,9 +123,6 @@
 	return nil
 }
 
-// errRestored means that the store has begun another era during calls that belong together.
-var errRestored = Class.New("store has come back from an older copy")
-
 // decodeDepartures decodes the departures of an item of the store.
 func (d *Daemon) decodeDepartures(i storer.Item) []departure {
 	if i.Version == 0 {
--- a/internal/sidecar/eras_test.go
+++ b/internal/sidecar/eras_test.go
@@ -229,6 +229,37 @@
 	}
 }
 
+// TestDeparturesAreReadOnceAtStart guards against a second read at the start because the first one
+// has named the era.
+func TestDeparturesAreReadOnceAtStart(t *testing.T) {
+	m := newDepartureMesh()
+	d := m.start()
+	reads := 0
+	d.platform.Store.Get = func(_ context.Context, key string) (storer.Item, error) {
+		reads++
+		return storer.Item{Key: key, Era: 1}, nil
+	}
+	d.platform.Store.Era = func() uint64 { return uint64(min(reads, 1)) }
+	syncStore(t, d, false)
+	d.observeStoreEra()
+	syncStore(t, d, false)
+	if reads != 1 {
+		t.Errorf("%d reads of the departures, want 1", reads)
+	}
+}
+
+// TestOrderForCompletedVersionIsCompleted guards against a rollout to the version that gets all
+// requests, which would leave the service without an old version.
+func TestOrderForCompletedVersionIsCompleted(t *testing.T) {
+	d := newRolloutDaemon()
+	d.record(shifter.Completed, 2, 40, 2)
+	d.declareAt(2, 50)
+	s := d.view.Load().services["renewal"]
+	if next, due := d.nextOutcome("renewal", s); !s.completed || !due || next.State != shifter.Completed {
+		t.Errorf("completed %v, outcome %v is to be written: %v; want completed", s.completed, next.State, due)
+	}
+}
+
 // TestDepartureIsStoredAgain guards against an acknowledged departure that only the lost part of
 // the store had.
 func TestDepartureIsStoredAgain(t *testing.T) {
