follower: past states in a file of their own

Cause: lost.go had two jobs, what is lost and how a restored item is told from a new one.

Change: moved, no logic; Without is WithoutValues, which says what is left out.

Measured: the package's tests pass.

--- a/internal/follower/lost_test.go
+++ b/internal/follower/lost_test.go
@@ -226,7 +226,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if packed, err = packed.WithLosses(c.Lost.Without(known.ValueHashes())); err != nil {
+	if packed, err = packed.WithLosses(c.Lost.WithoutValues(known.ValueHashes())); err != nil {
 		t.Fatal(err)
 	}
 	if size := packed.Size(); size > 4<<10 {
--- a/internal/sidecar/copies.go
+++ b/internal/sidecar/copies.go
@@ -88,7 +88,7 @@
 		if c, ok := f.Copy(); ok && f.Prefix == q.Prefix && q.Lacks(c.Mark()) {
 			p, err := d.packCopy(f, c, q.Base)
 			if err == nil && len(q.Values) > 0 {
-				p, err = p.WithLosses(c.Lost.Without(q.Values))
+				p, err = p.WithLosses(c.Lost.WithoutValues(q.Values))
 			}
 			if err == nil {
 				d.countCopy(p)
