emulator: operators write again what a restore has lost before any other change

An evacuation was lost; before the stand-in's operators had written it again, they withdrew it, which removed nothing, and two more returns of the store followed. So the daemons kept it. The users' operators write again what was lost.

Change: the store keeps what its operators have lost over several restores, and they write it before any other change. The check and its bound stay as they are.

--- a/internal/emulator/records.go
+++ b/internal/emulator/records.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,7 +73,10 @@
 	compacted uint64
 	revision  uint64
 	leases    map[uint64]*recordLease
-	faults    RecordFaults
+	// lost holds the operators' changes that a restore has lost, by key; the value is nil for
+	// a deletion.
+	lost   map[string][]byte
+	faults RecordFaults
 	// callCounts counts the calls by kind.
 	callCounts map[string]int
 	// changed is closed and replaced at each change other than the expiry of a
@@ -124,6 +128,9 @@
 func (r *Records) Put(key string, value []byte) uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if strings.HasPrefix(key, operatorPrefix) {
+		r.writeAgain()
+	}
 	r.revision++
 	r.put(key, value, 0)
 	r.notifyWatches()
@@ -134,6 +141,9 @@
 func (r *Records) Delete(key string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if strings.HasPrefix(key, operatorPrefix) {
+		r.writeAgain()
+	}
 	r.revision++
 	r.deleteKey(key)
 	r.notifyWatches()
--- a/internal/emulator/restore.go
+++ b/internal/emulator/restore.go
@@ -38,33 +38,12 @@
 	return b
 }
 
-// OperatorWrites are changes by operators that a restore has lost: the values of keys, nil for
-// those that were deleted. Revision is that of the backup.
-type OperatorWrites struct {
-	values   map[string][]byte
-	revision uint64
-}
-
 // Restore replaces the state by that of a backup and begins a new era. All later changes are
-// lost, and their revisions and lease IDs are given out again. Waiting watches are cut. It
-// returns what the operators have to write again.
-func (r *Records) Restore(b Backup) OperatorWrites {
+// lost, and their revisions and lease IDs are given out again. Waiting watches are cut.
+func (r *Records) Restore(b Backup) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	lost := OperatorWrites{
-		values:   map[string][]byte{},
-		revision: b.revision,
-	}
-	for key, i := range r.items {
-		if strings.HasPrefix(key, operatorPrefix) && b.items[key].Rev != i.Rev {
-			lost.values[key] = i.Value
-		}
-	}
-	for key := range b.items {
-		if _, ok := r.items[key]; !ok && strings.HasPrefix(key, operatorPrefix) {
-			lost.values[key] = nil
-		}
-	}
+	r.lost = r.lostTo(b)
 	r.era.Add(1)
 	r.items = maps.Clone(b.items)
 	r.history = slices.Clone(b.history)
@@ -75,22 +54,47 @@
 		r.leases[id] = &l
 	}
 	r.notifyWatches()
+}
+
+// lostTo returns the operators' changes that are not in a backup: the values of keys, nil for
+// those that were deleted. Changes that they have not written again since the last restore
+// count. The caller holds the lock.
+func (r *Records) lostTo(b Backup) map[string][]byte {
+	lost := map[string][]byte{}
+	for key, i := range r.items {
+		if strings.HasPrefix(key, operatorPrefix) && b.items[key].Rev != i.Rev {
+			lost[key] = i.Value
+		}
+	}
+	for key := range b.items {
+		if _, ok := r.items[key]; !ok && strings.HasPrefix(key, operatorPrefix) {
+			lost[key] = nil
+		}
+	}
+	maps.Copy(lost, r.lost)
 	return lost
 }
 
-// WriteAgain writes what the operators have lost by the last restore, except keys that they
-// have written since.
-func (r *Records) WriteAgain(lost OperatorWrites) {
-	for _, key := range slices.Sorted(maps.Keys(lost.values)) {
-		r.mu.Lock()
-		changed := r.items[key].Rev > lost.revision
-		r.mu.Unlock()
-		switch value := lost.values[key]; {
-		case changed:
-		case value == nil:
-			r.Delete(key)
-		default:
-			r.Put(key, value)
+// WriteAgain writes what the operators have lost by restores. They do that before any other
+// change.
+func (r *Records) WriteAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writeAgain()
+}
+
+// writeAgain is WriteAgain for a caller that holds the lock.
+func (r *Records) writeAgain() {
+	for _, key := range slices.Sorted(maps.Keys(r.lost)) {
+		r.revision++
+		if value := r.lost[key]; value != nil {
+			r.put(key, value, 0)
+		} else {
+			r.deleteKey(key)
 		}
 	}
+	if len(r.lost) > 0 {
+		r.notifyWatches()
+	}
+	r.lost = nil
 }
--- a/internal/emulator/restore_test.go
+++ b/internal/emulator/restore_test.go
@@ -71,7 +71,7 @@
 	for records.Calls("watch") == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	lost := records.Restore(backup)
+	records.Restore(backup)
 	if status := <-cut; status != 0 && status != 410 {
 		t.Errorf("a watch of the earlier era got status %d, want a cut or 410", status)
 	}
@@ -93,7 +93,11 @@
 		}
 	}
 	check(map[string]string{"op/kept": "1", "op/changed": "1", "op/removed": "1", "op/added": "", "own/added": ""})
+	records.Restore(backup)
+	records.WriteAgain()
+	check(map[string]string{"op/kept": "1", "op/changed": "2", "op/removed": "", "op/added": "1", "own/added": ""})
+	records.Restore(backup)
 	records.Put("op/added", []byte("3"))
-	records.WriteAgain(lost)
+	records.WriteAgain()
 	check(map[string]string{"op/kept": "1", "op/changed": "2", "op/removed": "", "op/added": "3", "own/added": ""})
 }
--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -83,7 +83,7 @@
 			m.waitForPlan(3, 1, waitTimeout)
 			m.restoreStore(backup)
 			m.advanceRevision(test.after)
-			m.writePlan(3, safeRule)
+			m.records.WriteAgain()
 			m.writePlan(5, safeRule)
 			m.waitForPlan(5, 3, configTime)
 			m.writePlan(7, safeRule)
@@ -106,7 +106,7 @@
 	m.nodes[1].start()
 	time.Sleep(contactTime)
 	m.waitForPlan(3, 3, 0)
-	m.writePlan(3, safeRule)
+	m.records.WriteAgain()
 	m.writePlan(5, safeRule)
 	m.waitForPlan(5, 3, configTime)
 }
@@ -167,7 +167,7 @@
 			m.restoreStore(backup)
 			returned := time.Now()
 			time.Sleep(rewriteTime / 2)
-			m.startRollout("renewal", "v2", 6)
+			m.records.WriteAgain()
 			for time.Since(returned) < 2*rewriteTime {
 				got := m.rolloutState("renewal")
 				if late := time.Since(returned) > rewriteTime; got != state && (got != "" || late) {
@@ -212,7 +212,7 @@
 	if n := len(b.backend.Arrivals()) - arrived; n > 0 {
 		t.Errorf("%d requests reached the evacuated data centre", n)
 	}
-	m.records.Evacuate("martin", true)
+	m.records.WriteAgain()
 	time.Sleep(configTime)
 	m.records.Evacuate("martin", false)
 	m.waitFor("martin gets requests again", func() bool { return b.servedOnlyBy("/s/", "i-martin-2") })
@@ -238,7 +238,7 @@
 			t.Fatalf("martin is evacuated again %v after the return", time.Since(began))
 		}
 	}
-	m.records.Evacuate("martin", false)
+	m.records.WriteAgain()
 	m.records.Evacuate("martin", true)
 	m.waitFor("martin is evacuated", func() bool { return b.servedOnlyBy("/s/", "i-zilina-1") })
 }
@@ -265,7 +265,7 @@
 	m.waitFor("all daemons are registered", registered)
 	m.restoreStore(backup)
 	returned := time.Now()
-	m.writePlan(1, safeRule)
+	m.records.WriteAgain()
 	m.waitFor("all daemons are registered again", registered)
 	if took := time.Since(returned); took > rewriteTime {
 		t.Errorf("daemons registered again after %v, want at most %v", took, rewriteTime)
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -56,9 +56,9 @@
 	s.declareConfig()
 	time.Sleep(evacuationTimeout)
 	before := s.arrivalsIn(zone)
-	lost := s.bringBack(backup)
+	s.bringBack(backup)
 	time.Sleep(rewriteDelay)
-	s.store.WriteAgain(lost)
+	s.store.WriteAgain()
 	s.declareConfig()
 	s.checkRecovery("return", time.Now().Add(contactTime+configTimeout))
 	if n := s.arrivalsIn(zone) - before; n > 0 {
--- a/internal/soaker/run.go
+++ b/internal/soaker/run.go
@@ -138,18 +138,17 @@
 func (s *soak) restoreStore(age time.Duration) {
 	backup := s.store.Backup()
 	time.Sleep(age)
-	lost := s.bringBack(backup)
+	s.bringBack(backup)
 	time.Sleep(rewriteDelay)
-	s.store.WriteAgain(lost)
+	s.store.WriteAgain()
 }
 
-// bringBack takes the store away and brings it back from a backup. It returns what the
-// operators have to write again.
-func (s *soak) bringBack(b emulator.Backup) emulator.OperatorWrites {
+// bringBack takes the store away and brings it back from a backup.
+func (s *soak) bringBack(b emulator.Backup) {
 	s.adjustStoreFault(StoreRefuse, 1)
 	defer s.adjustStoreFault(StoreRefuse, -1)
 	time.Sleep(restoreOutage)
-	return s.store.Restore(b)
+	s.store.Restore(b)
 }
 
 // startMove requests a move of the main service to the next version and
