sidecar: what the store has lost stays in force for 15 s instead of a minute

Cause: an operator who withdraws a lost evacuation instead of writing it again removes nothing from the store, so no daemon can see it.

Change: a loss counts for 15 s, the users' bound for recovery, after the first daemon saw the new era.

--- a/internal/sidecar/eras.go
+++ b/internal/sidecar/eras.go
@@ -7,8 +7,9 @@
 )
 
 // lossRetention is the time after the store's return from an older copy within which the
-// operators write again what it has lost. Until then it stays in force.
-const lossRetention = time.Minute
+// operators write again what it has lost. Until then it stays in force. What they have withdrawn
+// instead of writing it again can't be seen, since the store has nothing to remove.
+const lossRetention = 15 * time.Second
 
 // eraLog holds the store's present era as far as the daemon knows it from its own calls and
 // from other daemons. The zero value knows none.
