--- a/internal/sidecar/restore_test.go
+++ b/internal/sidecar/restore_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/emulator"
-	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 )
 
 // outage is how long the store is away before it comes back from a backup.
@@ -247,7 +246,6 @@
 // store has lost, or has given to others since.
 func TestDaemonsAreRegisteredAfterRestore(t *testing.T) {
 	m := newMesh(t)
-	m.configure = func(s *loader.Settings) { s.Sidecar.MemoryMiB = 64 }
 	backup := m.records.Backup()
 	for range 6 {
 		m.addNode("zilina", "renewal", "v1")
