follower: a watch is not resumed in another era

Callers would see a change up to 25 s late: it was written after the store's return, and revisions had already passed that of a relay's watch when the relay came back to it.

Cause: after an outage the watch goes on after the revision of the copy. If the store has given that revision out again, it gets no 410 and waits for later changes; those before it show only in the answer, which names the era when it comes. The renewal of the lease shows the new era within 0.7 s, but started the same watch again.

Change: a watch is made only in the era of the copy; otherwise the items are read. A copy of a later era, from another daemon, ends the watch in flight.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -150,6 +150,9 @@
 	switch known := f.current; {
 	case !f.hasCopy || known.Era == 0 && c.Era > 0:
 	case c.Era > known.Era:
+		if f.cancelWatch != nil {
+			f.cancelWatch()
+		}
 		c.Lost = f.past.lostBetween(known, c).merge(c.Lost, c.Items)
 	default:
 		if c.Revision < known.Revision {
@@ -299,9 +302,13 @@
 }
 
 // watch waits for changes after the revision of the current copy and applies them. It returns
-// ErrCompacted if the platform has begun another era, whose changes follow another revision.
+// ErrCompacted if the platform has begun another era, whose changes follow another revision. The
+// platform may have given out that revision again, so the watch would miss those before it.
 func (f *Follower) watch(ctx context.Context) error {
 	base, _ := f.Copy()
+	if f.Platform.Era != nil && f.Platform.Era() > base.Era {
+		return storer.ErrCompacted
+	}
 	watch, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.setCancelWatch(cancel)
