server: respond to a leave report when the target's requests have ended

Cause: the daemon acknowledged the leave report of a target (own log, DELETE /v1/target) at once. A target that then stops with net/http's Shutdown closes idle connections, also one on which a request has arrived that it has not read.

Change: the response waits until no request is in flight at the target, for at most 800 ms, because targets wait a second for it. The platform's targets serve for drain_ms after the confirmation, so nothing changes there.

--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -269,7 +269,8 @@
 	})
 }
 
-// shutdownPollInterval is the interval at which shutdown looks for open connections.
+// shutdownPollInterval is the interval at which a shutdown looks for open connections, and a
+// leave report for requests in flight.
 const shutdownPollInterval = 10 * time.Millisecond
 
 // shutdown announces that the daemon leaves, waits for leaveGrace, and then waits
--- a/internal/server/operator.go
+++ b/internal/server/operator.go
@@ -82,8 +82,9 @@
 	return Done{Done: true}, nil
 }
 
-func (d *Daemon) removeTargetEndpoint(context.Context, any) (any, error) {
+func (d *Daemon) removeTargetEndpoint(ctx context.Context, _ any) (any, error) {
 	d.removeTarget("it left")
+	d.waitForTargetRequests(ctx)
 	return Done{Done: true}, nil
 }
 
--- a/internal/server/target.go
+++ b/internal/server/target.go
@@ -66,6 +66,8 @@
 	// heartbeatTimeout is the time without a heartbeat after which a target is
 	// removed.
 	heartbeatTimeout = 3 * time.Second
+	// leaveTimeout bounds the response to a leave report. Targets wait a second for it.
+	leaveTimeout = 800 * time.Millisecond
 )
 
 // recordHeartbeat stores a target's announcement and publishes it to other
@@ -165,6 +167,21 @@
 	d.members.UpdateSelf(func(m prober.Member) prober.Member { return m.WithTarget(nil) })
 }
 
+// waitForTargetRequests waits until the requests at the removed target have ended, for at most
+// leaveTimeout. A target that stops may close a connection on which a request has arrived
+// that it has not read.
+func (d *Daemon) waitForTargetRequests(ctx context.Context) {
+	left := d.formerTarget.Load()
+	if left == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	for left.local.Limiter.Running() > 0 && ctx.Err() == nil {
+		sleep(ctx, shutdownPollInterval)
+	}
+}
+
 // watchTarget removes the target when its heartbeats stop.
 func (d *Daemon) watchTarget(ctx context.Context) error {
 	for ctx.Err() == nil {
