--- a/internal/emulator/records.go
+++ b/internal/emulator/records.go
@@ -63,7 +63,7 @@
 	writeLimiter *rate.Limiter
 	readLimiter  *rate.Limiter
 
-	// era counts the restores, from 1. It changes only while mu is held.
+	// era counts the restores. It changes only while mu is held.
 	era atomic.Uint64
 
 	mu      sync.Mutex
@@ -104,7 +104,6 @@
 		callCounts:   map[string]int{},
 		changed:      make(chan struct{}),
 	}
-	r.era.Store(1)
 	return r
 }
 
