soaker: evacuate a zone that the other one can replace in the drill

Trace: the rollout of desk was completed, its two v2 targets are both in north, and the drill evacuates north. The evacuation stays in force after the store's return, as it has to, and south has a v1 target only, so that "no target takes this" is right: what can't be served is rejected at once. The check asked for 200.

Change: the drill takes the other zone if that of the seed has all targets of the version in force. All checks and bounds stay as they are, and now hold for such seeds too.

--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -47,7 +48,7 @@
 // It records a violation if a daemon does not handle requests by a configuration that is
 // declared after that, or if an evacuation that the store has lost does not stay in force.
 func (s *soak) checkRestore() {
-	zone := zones[s.options.Seed%uint64(len(zones))]
+	zone := s.drillZone()
 	backup := s.store.Backup()
 	for i := range lostWrites {
 		s.store.Put("other/key", []byte{byte(i)})
@@ -67,6 +68,28 @@
 	s.store.Evacuate(zone, false)
 }
 
+// drillZone returns the zone that is evacuated while the store comes back: that of the seed, unless
+// it has all targets that may take the main service's requests. A completed version leaves out
+// the targets of the one before, which may be all that the other zone has.
+func (s *soak) drillZone() string {
+	version := firstVersion
+	if state, err := s.store.Outcome(mainService); err == nil && state == "completed" {
+		version = nextVersion
+	}
+	serving := map[string]bool{}
+	for _, n := range s.nodesOf(mainService) {
+		if v, _ := n.currentVersion(); v == version {
+			serving[n.zone] = true
+		}
+	}
+	zone := zones[s.options.Seed%uint64(len(zones))]
+	if len(serving) > 1 || !serving[zone] {
+		return zone
+	}
+	other := slices.IndexFunc(zones, func(z string) bool { return z != zone })
+	return zones[other]
+}
+
 // arrivalsIn returns the number of requests that have reached the running targets of a zone.
 func (s *soak) arrivalsIn(zone string) int {
 	total := 0
