carrier: pass the customer's name between daemons

Keys are checked at the first daemon and never leave it. The target's daemon needs the name to set it on the request and to count requests by customer.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -29,6 +29,8 @@
 	Priority int
 	// Caller is the service on the VM that the request comes from.
 	Caller string
+	// Customer is the name of the customer whose key the client has presented, or empty.
+	Customer string
 	// Deadline is the time after which the client no longer waits for the response.
 	Deadline time.Time
 	// Objective is the time by which the response should be sent.
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -19,6 +19,7 @@
 	kindHeader           = "Coltsfoot-Kind"
 	priorityHeader       = "Coltsfoot-Rank"
 	callerHeader         = "Coltsfoot-Caller"
+	customerHeader       = "Coltsfoot-Customer"
 	queueTimeoutHeader   = "Coltsfoot-Patience"
 	remainingHeader      = "Coltsfoot-Left"
 	objectiveHeader      = "Coltsfoot-Useful"
@@ -78,6 +79,9 @@
 	h.Set(kindHeader, strconv.Itoa(int(a.Kind)))
 	h.Set(priorityHeader, strconv.Itoa(a.Priority))
 	h.Set(callerHeader, a.Caller)
+	if a.Customer != "" {
+		h.Set(customerHeader, a.Customer)
+	}
 	setDurationHeader(h, queueTimeoutHeader, a.MaxWait)
 	setDurationHeader(h, objectiveHeader, time.Until(a.Objective))
 	setDurationHeader(h, remainingHeader, time.Until(a.Deadline))
@@ -98,6 +102,7 @@
 		Kind:      matcher.Kind(intHeader(h, kindHeader)),
 		Priority:  intHeader(h, priorityHeader),
 		Caller:    h.Get(callerHeader),
+		Customer:  h.Get(customerHeader),
 		Deadline:  time.Now().Add(durationHeader(h, remainingHeader)),
 		Objective: time.Now().Add(durationHeader(h, objectiveHeader)),
 		MaxWait:   durationHeader(h, queueTimeoutHeader),
