forwarder: don't take the part of a response before a reset for the whole

Cause: the kernel reports a reset once. If a write of the request's body gets it, the next read returns EOF, which ends a response without a length. And net/http accepts any three digits as a status. Change: EOF on a connection with a failed or pending write counts only if the peer has closed in order. A status outside 200 to 599 is a failure that closes the connection, on both hops. Before: TestResponseThatBreaksOffDuringUpload failed in all eight cases (HTTP/1.1 and 1.0, no byte and some bytes, reset and closed with bytes unread), and TestResponseWithoutValidStatus for 000, 000 with a refusal, 099, 600, 999 and 101. Both passed after, as did two lengths, a length beside chunks, an unknown coding and a missing reason, which were right before.

--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -192,7 +192,7 @@
 func readTargetResponse(resp *http.Response, body []byte, elapsed time.Duration) (*TargetResponse, error) {
 	lag := max(0, elapsed-durationHeader(resp.Header, processingTimeHeader))
 	status, err := strconv.Atoi(resp.Header.Get(statusHeader))
-	if err != nil {
+	if err != nil || !forwarder.IsFinalStatus(status) {
 		f := readFailure(resp.Header)
 		f.Load.Lag = lag
 		return nil, f
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -111,7 +111,7 @@
 
 // countingConn is a connection that counts the bytes read from it, the bytes
 // written to it and the writes in progress. It resets connections on which a request
-// is unanswered.
+// is unanswered, and tells an end in order from one that is only the rest of a reset.
 type countingConn struct {
 	net.Conn
 	// maxHead is the transport's bound of a response's head.
@@ -119,20 +119,49 @@
 	pendingWrites atomic.Int64
 	written       atomic.Int64
 	received      atomic.Int64
+	// writeFailed is set when a write has failed.
+	writeFailed atomic.Bool
 	// unanswered is set from the start of a request to the first byte of a response.
 	unanswered atomic.Bool
 }
 
-// Read implements io.Reader and counts the bytes read.
+// Read implements io.Reader and counts the bytes read. It returns io.EOF only if the peer
+// has closed the connection in order.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
 	if n > 0 {
 		c.unanswered.Store(false)
 	}
+	if err == io.EOF && !c.closedInOrder() {
+		err = io.ErrUnexpectedEOF
+	}
 	return n, err
 }
 
+// closedInOrder reports whether the end of what the peer has sent is certain not to be that
+// of a reset. The kernel reports a reset only once: if to a write, the next read returns
+// io.EOF.
+func (c *countingConn) closedInOrder() bool {
+	if c.pendingWrites.Load() == 0 && !c.writeFailed.Load() {
+		return true
+	}
+	syscallConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closeWait := false
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closeWait = err == nil && info.State == unix.BPF_TCP_CLOSE_WAIT
+	})
+	return closeWait
+}
+
 // Close implements io.Closer. It resets the connection if there is no response to a
 // request yet, so that a peer that has not read the request can drop it. A peer that
 // has begun to respond reads the connection, and an orderly close reaches it more
@@ -150,6 +179,9 @@
 	defer c.pendingWrites.Add(-1)
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
 	return n, err
 }
 
@@ -236,6 +268,13 @@
 	return c != nil && c.pendingWrites.Load() == 0 && c.written.Load() == ct.startOffset.Load()
 }
 
+// closeConn closes the connection, so that its further bytes are not taken for a response.
+func (ct *connTrace) closeConn() {
+	if c := ct.conn.Load(); c != nil {
+		_ = c.Close()
+	}
+}
+
 // headTooLong returns the number of bytes received in response to the request if
 // they reach the bound of a response's head.
 func (ct *connTrace) headTooLong() (received int64, ok bool) {
@@ -276,16 +315,31 @@
 	return checkFraming(resp)
 }
 
+// Status codes of final responses.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// IsFinalStatus reports whether a status code is one of a final response. RFC 9110,
+// section 15, has no class below 100 nor above 599, and 1xx responses are interim.
+func IsFinalStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
 // RoundTrip sends a request once. The body must not be rewindable, so that the
 // transport cannot send it again. The error has the verdict NotRun only if no
-// byte can have been written.
+// byte can have been written. A response whose status is not one of a final response
+// is an error, and its connection is closed.
 func RoundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
 	ct := connTrace{ctx: req.Context()}
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: ct.gotConn})
 	resp, err := rt.RoundTrip(req.WithContext(ctx))
 	switch {
-	case err == nil:
+	case err == nil && IsFinalStatus(resp.StatusCode):
 		return resp, nil
+	case err == nil:
+		ct.closeConn()
+		_ = resp.Body.Close()
+		return nil, classifier.NewFailure(classifier.MayHaveRun, "answer with an invalid status", nil)
 	case !ct.connected.Load():
 		return nil, classifier.NewFailure(classifier.NotRun, "no connection", err)
 	case ct.cancelled.Load() && ct.nothingWritten():
