dispatcher: send the client's request target byte for byte

The rule was selected by the decoded path, not by the bytes that are sent. Change: such a target is sent as a parsed path, one place takes the target from the client's bytes, and the rule is selected by them. A target that can't be sent unchanged gets 400 at the first daemon.

--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -8,6 +8,7 @@
 	"net/textproto"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -178,12 +179,31 @@
 	}, body
 }
 
-// URL returns the URL of the attempt at an address. It keeps the URI byte for byte.
+// URL returns the URL of the attempt at an address. Its request target is URI, byte for
+// byte, if IsTarget reports true for that.
 func (a *Attempt) URL(address string) *url.URL {
+	return targetURL(address, a.URI)
+}
+
+// IsTarget reports whether a path with a query can be sent as the target of a request
+// without a change.
+func IsTarget(uri string) bool {
+	return strings.HasPrefix(uri, "/") && targetURL("", uri).RequestURI() == uri
+}
+
+// targetURL returns the URL of a request target at an address. An opaque URL keeps all
+// bytes, but one that begins with two slashes would be written in absolute form.
+func targetURL(address, uri string) *url.URL {
+	if strings.HasPrefix(uri, "//") {
+		if u, err := url.ParseRequestURI(uri); err == nil {
+			u.Scheme, u.Host = "http", address
+			return u
+		}
+	}
 	return &url.URL{
 		Scheme: "http",
 		Host:   address,
-		Opaque: a.URI,
+		Opaque: uri,
 	}
 }
 
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -16,11 +16,13 @@
 
 // call is the state of one client request while it is forwarded.
 type call struct {
-	client   Client
-	plan     *matcher.Plan
-	rule     *matcher.Rule
-	service  string
-	request  *receiver.Request
+	client  Client
+	plan    *matcher.Plan
+	rule    *matcher.Rule
+	service string
+	request *receiver.Request
+	// uri is the path with the query, as the client has sent it.
+	uri      string
 	deadline time.Time
 	canary   bool
 	// excluded holds the instances that must not get the request again, and busy
@@ -52,6 +54,23 @@
 	responses []*carrier.TargetResponse
 }
 
+// requestTarget returns the path with the query of a request target, without a change of
+// its bytes. A target in absolute form loses its scheme and authority.
+func requestTarget(target string) string {
+	_, rest, ok := strings.Cut(target, "://")
+	if strings.HasPrefix(target, "/") || !ok {
+		return target
+	}
+	i := strings.IndexAny(rest, "/?")
+	switch {
+	case i < 0:
+		return "/"
+	case rest[i] == '?':
+		return "/" + rest[i:]
+	}
+	return rest[i:]
+}
+
 // recordDelivery records that an attempt may have reached a target.
 func (c *call) recordDelivery() {
 	c.deliveries++
@@ -78,10 +97,6 @@
 		queueTimeout = time.Until(c.deadline)
 	}
 	r := c.request
-	uri := r.RequestURI
-	if !strings.HasPrefix(uri, "/") {
-		uri = r.URL.RequestURI()
-	}
 	var baseline time.Duration
 	if c.canary {
 		baseline = d.Chooser.ServiceTimeAt(c.rule.Name, d.Pool(c.service).Targets)
@@ -101,7 +116,7 @@
 		Baseline:  baseline,
 		MayGiveUp: d.mayGiveUp(c),
 		Method:    r.Method,
-		URI:       uri,
+		URI:       c.uri,
 		Host:      r.Host,
 		Header:    r.Header,
 		Body:      r.Body,
@@ -190,7 +205,7 @@
 	switch {
 	case err == errNoRule:
 		status = http.StatusNotFound
-	case err == errBadHeaders:
+	case err == errBadHeaders, err == errBadTarget:
 		status = http.StatusBadRequest
 	case classifier.VerdictOf(err) == classifier.NotRun:
 		status = http.StatusServiceUnavailable
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -108,6 +109,7 @@
 	errClientGone = classifier.NewFailure(classifier.NotRun, "client went away before it was sent", nil)
 	errExpired    = classifier.NewFailure(classifier.NotRun, "time ran out before it was sent", nil)
 	errStopping   = classifier.NewFailure(classifier.NotRun, "daemon stops before the request may end", nil)
+	errBadTarget  = classifier.NewFailure(classifier.NotRun, "request target that can't be passed on", nil)
 	errBadHeaders = classifier.NewFailure(classifier.NotRun, "bad request headers", nil)
 )
 
@@ -115,6 +117,7 @@
 func (d *Dispatcher) Handle(ctx context.Context, r *receiver.Request) *receiver.Response {
 	c := &call{
 		request:  r,
+		uri:      requestTarget(r.RequestURI),
 		excluded: map[string]bool{},
 		busy:     map[string]bool{},
 	}
@@ -168,10 +171,14 @@
 		c.retryAfter = startupRetryAfter
 		return nil, errNoPlan
 	}
-	rule, ok := c.plan.Match(c.request.Host, c.request.URL.Path)
+	path, _, _ := strings.Cut(c.uri, "?")
+	rule, ok := c.plan.Match(c.request.Host, path)
 	if !ok {
 		return nil, errNoRule
 	}
+	if !carrier.IsTarget(c.uri) {
+		return nil, errBadTarget
+	}
 	c.rule = rule
 	remaining := rule.Timeout
 	if c.client.TimeLeft > 0 {
