--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -31,7 +31,7 @@
 
 // newHarness starts a target that passes each request to respond, with its
 // number from 1. It keeps the connection open if respond returns true.
-func newHarness(t *testing.T, respond func(conn net.Conn, r *http.Request, n int32) (keep bool)) *harness {
+func newHarness(t testing.TB, respond func(conn net.Conn, r *http.Request, n int32) (keep bool)) *harness {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/deliverer/incomplete_test.go
+++ b/internal/deliverer/incomplete_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
@@ -139,3 +141,54 @@
 		})
 	}
 }
+
+// FuzzTargetResponse checks that no response is called whole that isn't: a response of the
+// fuzzed status and body, cut off after some bytes, is an error, and a whole one has the body
+// that was sent. A response without a length is not cut, as its end can't be told.
+func FuzzTargetResponse(f *testing.F) {
+	f.Add(uint16(200), []byte("whole"), false, uint16(0))
+	f.Add(uint16(200), []byte("whole"), true, uint16(0))
+	f.Add(uint16(200), []byte("whole"), false, uint16(1))
+	f.Add(uint16(500), []byte("HTTP/1.1 200 OK\r\n\r\n"), true, uint16(7))
+	f.Add(uint16(0), []byte("\r\n0\r\n\r\n"), true, uint16(2))
+	f.Add(uint16(204), []byte(""), false, uint16(300))
+	var response []byte
+	h := newHarness(f, func(conn net.Conn, _ *http.Request, _ int32) bool {
+		_, _ = conn.Write(response)
+		return false
+	})
+	f.Fuzz(func(t *testing.T, status uint16, body []byte, chunked bool, cut uint16) {
+		hasBody := status != http.StatusNoContent && status != http.StatusNotModified && status >= 200
+		if !hasBody && len(body) > 0 || len(body) > 4<<10 || status == http.StatusMisdirectedRequest {
+			t.Skip("no response of this status and body, or a refusal")
+		}
+		head := fmt.Sprintf("HTTP/1.1 %03d x\r\nConnection: close\r\nX-Attempt-Id: id-1\r\nX-Server-Stamp: s\r\n", status)
+		switch {
+		case !hasBody:
+			response = []byte(head + "\r\n")
+		case chunked:
+			chunk := ""
+			if len(body) > 0 {
+				chunk = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+			}
+			response = []byte(head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n")
+		default:
+			response = fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		}
+		whole := int(cut) == 0
+		response = response[:max(0, len(response)-int(cut))]
+		h.Gate.SetTarget(admitter.Target{Instance: "i-0"}) // resets the breaker
+		h.Gate.SetTarget(admitter.Target{Instance: "i-1", Slots: 4, ColdRate: 5})
+		resp, err := h.deliver("id-1")
+		switch {
+		case err != nil && classifier.VerdictOf(err) == classifier.NotRun:
+			t.Errorf("%q: got the error %v with the verdict NotRun", response, err)
+		case err == nil && !whole:
+			t.Errorf("%q, cut by %d bytes: got the response %d %q, want an error", response, cut, resp.Status, resp.Body)
+		case err == nil && (status < 200 || status > 599 || resp.Status != int(status) || !bytes.Equal(resp.Body, body)):
+			t.Errorf("%q: got the response %d %q", response, resp.Status, resp.Body)
+		case err != nil && whole && status >= 200 && status <= 599:
+			t.Errorf("%q: got the error %v, want the response", response, err)
+		}
+	})
+}
--- a/internal/forwarder/roundtrip_test.go
+++ b/internal/forwarder/roundtrip_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -86,3 +87,29 @@
 		}
 	}
 }
+
+// TestInvalidStatusIsAFailure guards against bytes that are passed on as a response although
+// they are none in the protocol.
+func TestInvalidStatusIsAFailure(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Broken\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+		req, _ := http.NewRequestWithContext(t.Context(), "POST", "http://"+ln.Addr().String(), &Body{Reader: strings.NewReader("x")})
+		if _, err := roundTripFramed(NewTransport(1), req); err == nil || classifier.VerdictOf(err) != classifier.MayHaveRun {
+			t.Errorf("status %s: got the error %v, want one with the verdict MayHaveRun", status, err)
+		}
+		_ = ln.Close()
+	}
+}
