coltsfoot: check a plan before it is written to the store

Operators of the users' platform learnt of a fault in a plan only from the daemons' logs, and of an entry that never matches not at all.

--- a/cmd/coltsfoot/main.go
+++ b/cmd/coltsfoot/main.go
@@ -54,6 +54,7 @@
 		versionCommand(app),
 	}
 	commands = append(commands, zoneCommands(app)...)
+	commands = append(commands, planCommands(app)...)
 	selected := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
