matcher, platform: customers and their keys in the plan

The operators' plan names customers with keys, and rules that are public.

Plans without customers are decoded as before. Nothing uses the keys yet.

--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -44,6 +44,8 @@
 	MaxAttempts int
 	// Priority 0 is the highest.
 	Priority int
+	// Public means that requests need no key.
+	Public bool
 }
 
 // Service holds what operators declare about a service's targets.
@@ -67,7 +69,9 @@
 	Version  uint64
 	Limits   Limits
 	Services map[string]Service
-	hosts    map[string][]Rule
+	// Keys is nil if requests need no key.
+	Keys  *KeySet
+	hosts map[string][]Rule
 }
 
 // New returns a plan with the given rules for each host.
