--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/authenticator"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
 
@@ -29,8 +31,10 @@
 	Priority int
 	// Caller is the service on the VM that the request comes from.
 	Caller string
-	// Customer is the name of the customer whose key the client has presented, or empty.
-	Customer string
+	// Identity is that of the customer whose key the client has presented, and Identified
+	// is when it was stated, by the clock of this daemon's machine.
+	Identity   authenticator.Identity
+	Identified timekeeper.Reading
 	// Deadline is the time after which the client no longer waits for the response.
 	Deadline time.Time
 	// Objective is the time by which the response should be sent.
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -2,12 +2,15 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/authenticator"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
 
@@ -20,6 +23,9 @@
 	priorityHeader       = "Coltsfoot-Rank"
 	callerHeader         = "Coltsfoot-Caller"
 	customerHeader       = "Coltsfoot-Customer"
+	keyIDHeader          = "Coltsfoot-Held"
+	planHeader           = "Coltsfoot-Plan"
+	validHeader          = "Coltsfoot-Valid"
 	queueTimeoutHeader   = "Coltsfoot-Patience"
 	remainingHeader      = "Coltsfoot-Left"
 	objectiveHeader      = "Coltsfoot-Useful"
@@ -79,8 +85,8 @@
 	h.Set(kindHeader, strconv.Itoa(int(a.Kind)))
 	h.Set(priorityHeader, strconv.Itoa(a.Priority))
 	h.Set(callerHeader, a.Caller)
-	if a.Customer != "" {
-		h.Set(customerHeader, a.Customer)
+	if a.Identity.Customer != "" {
+		a.writeIdentity(h)
 	}
 	setDurationHeader(h, queueTimeoutHeader, a.MaxWait)
 	setDurationHeader(h, objectiveHeader, time.Until(a.Objective))
@@ -93,7 +99,7 @@
 // readAttempt returns the attempt in a request, without its body.
 func readAttempt(r *http.Request) *Attempt {
 	h := r.Header
-	return &Attempt{
+	a := &Attempt{
 		ID:        h.Get(idHeader),
 		Service:   h.Get(forwarder.ServiceHeader),
 		Version:   h.Get(forwarder.VersionHeader),
@@ -102,7 +108,6 @@
 		Kind:      matcher.Kind(intHeader(h, kindHeader)),
 		Priority:  intHeader(h, priorityHeader),
 		Caller:    h.Get(callerHeader),
-		Customer:  h.Get(customerHeader),
 		Deadline:  time.Now().Add(durationHeader(h, remainingHeader)),
 		Objective: time.Now().Add(durationHeader(h, objectiveHeader)),
 		MaxWait:   durationHeader(h, queueTimeoutHeader),
@@ -112,6 +117,38 @@
 		Host:      r.Host,
 		Header:    forwarder.ForwardedHeader(h),
 	}
+	if h.Get(customerHeader) != "" {
+		a.readIdentity(h)
+	}
+	return a
+}
+
+// writeIdentity sets the headers of the customer. The receiver measures the time that is left
+// from the arrival on, as with the deadline.
+func (a *Attempt) writeIdentity(h http.Header) {
+	h.Set(customerHeader, url.QueryEscape(a.Identity.Customer))
+	h.Set(keyIDHeader, a.Identity.KeyID)
+	h.Set(planHeader, strconv.FormatUint(a.Identity.Plan, 10))
+	if a.Identity.Valid > 0 {
+		left := a.Identity.Valid - timekeeper.System{}.Read().Since(a.Identified)
+		setDurationHeader(h, validHeader, max(time.Microsecond, left))
+	}
+}
+
+// readIdentity sets the customer of an attempt to that in the headers.
+func (a *Attempt) readIdentity(h http.Header) {
+	name, err := url.QueryUnescape(h.Get(customerHeader))
+	if err != nil {
+		return
+	}
+	plan, _ := strconv.ParseUint(h.Get(planHeader), 10, 64)
+	a.Identity = authenticator.Identity{
+		Customer: name,
+		KeyID:    h.Get(keyIDHeader),
+		Plan:     plan,
+		Valid:    durationHeader(h, validHeader),
+	}
+	a.Identified = timekeeper.System{}.Read()
 }
 
 func writeLoad(h http.Header, l chooser.Load) {
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -7,10 +7,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/authenticator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
 
@@ -22,9 +24,16 @@
 	service string
 	request *receiver.Request
 	// uri is the path with the query, as the client has sent it.
-	uri      string
-	deadline time.Time
-	canary   bool
+	uri string
+	// header holds the headers to forward.
+	header http.Header
+	// identity is that of the customer, stated at the time identified, and priority that of
+	// the request.
+	identity   authenticator.Identity
+	identified timekeeper.Reading
+	priority   int
+	deadline   time.Time
+	canary     bool
 	// excluded holds the instances that must not get the request again, and busy
 	// those that had no free slot for it.
 	excluded, busy map[string]bool
@@ -102,24 +111,26 @@
 		baseline = d.Chooser.ServiceTimeAt(c.rule.Name, d.Pool(c.service).Targets)
 	}
 	return &carrier.Attempt{
-		ID:        c.client.ID,
-		Service:   c.service,
-		Version:   t.Version,
-		Instance:  t.Instance,
-		Rule:      c.rule.Name,
-		Kind:      c.rule.Kind,
-		Priority:  c.rule.Priority,
-		Caller:    d.Caller,
-		Deadline:  c.deadline,
-		Objective: r.Began.Add(c.rule.Objective),
-		MaxWait:   queueTimeout,
-		Baseline:  baseline,
-		MayGiveUp: d.mayGiveUp(c),
-		Method:    r.Method,
-		URI:       c.uri,
-		Host:      r.Host,
-		Header:    r.Header,
-		Body:      r.Body,
+		ID:         c.client.ID,
+		Service:    c.service,
+		Version:    t.Version,
+		Instance:   t.Instance,
+		Rule:       c.rule.Name,
+		Kind:       c.rule.Kind,
+		Priority:   c.priority,
+		Caller:     d.Caller,
+		Identity:   c.identity,
+		Identified: c.identified,
+		Deadline:   c.deadline,
+		Objective:  r.Began.Add(c.rule.Objective),
+		MaxWait:    queueTimeout,
+		Baseline:   baseline,
+		MayGiveUp:  d.mayGiveUp(c),
+		Method:     r.Method,
+		URI:        c.uri,
+		Host:       r.Host,
+		Header:     c.header,
+		Body:       r.Body,
 	}
 }
 
@@ -207,6 +218,9 @@
 		status = http.StatusNotFound
 	case err == errBadHeaders, err == errBadTarget:
 		status = http.StatusBadRequest
+	case isKeyRefused(err):
+		status = http.StatusUnauthorized
+		h.Set("WWW-Authenticate", "ApiKey")
 	case classifier.VerdictOf(err) == classifier.NotRun:
 		status = http.StatusServiceUnavailable
 		retryAfter := min(maxRetryAfter, max(minRetryAfter, c.retryAfter))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/authenticator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
@@ -43,6 +44,8 @@
 	ID string
 	// TimeLeft is how long the client waits for a response, or 0 if it is not stated.
 	TimeLeft time.Duration
+	// Key is the key that the client presents, or empty.
+	Key string
 }
 
 // Pool holds the targets that a service's requests may go to.
@@ -66,6 +69,11 @@
 	Pool func(service string) Pool
 	// Client parses the request headers that describe the client.
 	Client func(h http.Header) (Client, error)
+	// Authenticator checks the keys of requests. WithoutCredentials returns a copy of
+	// headers without those that state a key or a customer. Both are used only under a plan
+	// with keys.
+	Authenticator      *authenticator.Authenticator
+	WithoutCredentials func(h http.Header) http.Header
 	// Send sends an attempt to the daemon of another VM, and Deliver passes one to
 	// the target on the daemon's own VM.
 	Send        func(ctx context.Context, address string, a *carrier.Attempt) (*carrier.TargetResponse, error)
@@ -92,6 +100,8 @@
 	Status  int
 	// Plan is the version of the plan that applied to the request.
 	Plan uint64
+	// Customer is the name of the customer on whose behalf the request was made, or empty.
+	Customer string
 	// Daemon and Instance identify the target of the last attempt, and Attempts is
 	// the number of attempts.
 	Daemon   string
@@ -118,6 +128,7 @@
 	c := &call{
 		request:  r,
 		uri:      requestTarget(r.RequestURI),
+		header:   r.Header,
 		excluded: map[string]bool{},
 		busy:     map[string]bool{},
 	}
@@ -148,6 +159,7 @@
 		Status:   status,
 		Daemon:   c.lastTarget.Daemon,
 		Instance: c.lastTarget.Instance,
+		Customer: c.identity.Customer,
 		Attempts: c.attempts,
 		Duration: d.Clock.Now().Sub(c.request.Began),
 		Err:      err,
@@ -180,6 +192,9 @@
 		return nil, errBadTarget
 	}
 	c.rule = rule
+	if err := d.authenticate(c); err != nil {
+		return nil, err
+	}
 	remaining := rule.Timeout
 	if c.client.TimeLeft > 0 {
 		remaining = min(remaining, c.client.TimeLeft)
@@ -240,6 +255,11 @@
 		if forwarder.ClientGone(ctx) {
 			return nil, c.recordError(errClientGone)
 		}
+		if !first {
+			if err := d.authenticate(c); err != nil {
+				return nil, c.recordError(err)
+			}
+		}
 		target, ok := d.pickTarget(c, first)
 		if !ok {
 			return nil, c.recordError(errNoTarget)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -21,9 +21,9 @@
 
 // Intervals and timeouts.
 const (
-	// watchTimeout is how long the platform may hold a watch request open before it
+	// WatchTimeout is how long the platform may by default hold a watch request open before it
 	// answers without changes. Each request counts as one call to the platform.
-	watchTimeout = 25 * time.Second
+	WatchTimeout = 25 * time.Second
 	// retryDelay is the default delay after a failed call; Follower.RetryDelay
 	// overrides it.
 	retryDelay = 300 * time.Millisecond
@@ -104,6 +104,12 @@
 	// RetryDelay returns the delay after a failed call once the first copy is available.
 	// Nil means 300 ms.
 	RetryDelay func() time.Duration
+	// WatchTimeout returns how long the platform may hold the next watch request open. Nil
+	// means 25 s.
+	WatchTimeout func() time.Duration
+	// StartCall is called before each call to the platform, and the function that it returns
+	// when a copy that contains all changes before the call is the current one. It may be nil.
+	StartCall func() (copied func())
 	// OnCall is called after each call to the platform that was not cancelled. ok
 	// reports whether the platform answered, also if it answered ErrCompacted; err is
 	// the error of the call, if any.
@@ -285,6 +291,8 @@
 
 // read fetches all items under the prefix.
 func (f *Follower) read(ctx context.Context) error {
+	base, _ := f.Copy()
+	copied := f.startCall()
 	result, err := f.Platform.Range(ctx, f.Prefix)
 	if err != nil {
 		return err
@@ -298,9 +306,36 @@
 		Revision: result.Revision,
 		Items:    items,
 	})
+	f.confirm(base, result, copied)
 	return nil
 }
 
+// startCall calls StartCall.
+func (f *Follower) startCall() (copied func()) {
+	if f.StartCall == nil {
+		return func() {}
+	}
+	return f.StartCall()
+}
+
+// confirm calls copied if the current copy contains all changes before the call that had the
+// result. That is not sure if the result is of another era, or older than the copy before the
+// call.
+func (f *Follower) confirm(base Copy, result storer.RangeResult, copied func()) {
+	isStale := result.Era == base.Era && result.Revision < base.Revision
+	if c, ok := f.Copy(); ok && !isStale && c.Era == result.Era && c.Revision >= result.Revision {
+		copied()
+	}
+}
+
+// watchTimeout returns how long the platform may hold the next watch request open.
+func (f *Follower) watchTimeout() time.Duration {
+	if f.WatchTimeout == nil {
+		return WatchTimeout
+	}
+	return f.WatchTimeout()
+}
+
 // watch waits for changes after the revision of the current copy and applies them. It returns
 // ErrCompacted if the platform has begun another era, whose changes follow another revision. The
 // platform may have given out that revision again, so the watch would miss those before it.
@@ -312,7 +347,8 @@
 	watch, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.setCancelWatch(cancel)
-	result, err := f.Platform.WatchPrefix(watch, f.Prefix, base.Revision, watchTimeout)
+	copied := f.startCall()
+	result, err := f.Platform.WatchPrefix(watch, f.Prefix, base.Revision, f.watchTimeout())
 	f.setCancelWatch(nil)
 	if err != nil {
 		if watch.Err() != nil && ctx.Err() == nil {
@@ -327,6 +363,7 @@
 		f.addPast(result.Changes)
 		f.Offer(base.With(result))
 	}
+	f.confirm(base, result, copied)
 	return nil
 }
 
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -74,10 +74,19 @@
 	// list yet.
 	RetryRatio float64 `json:"retryratio"`
 	RetrySlack float64 `json:"retryslack"`
+	// RevokeWithin is the time after which a key that the operators have removed must be
+	// refused everywhere, also by daemons that have lost touch with the store. They refuse
+	// all keys when that time has passed since the plan was last known to be the newest. 0
+	// means that they accept the keys of the last plan that they know.
+	RevokeWithin parser.Duration `json:"revoke,omitzero"`
 	// MemoryMiB is the memory limit of the process in MiB.
 	MemoryMiB int `json:"memory"`
 }
 
+// minRevokeWithin is the lowest RevokeWithin. Daemons learn of the state of the store with a
+// delay of up to two seconds.
+const minRevokeWithin = 3 * time.Second
+
 // check adds an error to group for each invalid setting.
 func (s *Sidecar) check(group *errs.Group) {
 	checkAddress("sidecar.target", s.Target, group)
@@ -86,6 +95,9 @@
 	if s.Service == "" {
 		group.Add(fmt.Errorf("sidecar.service: want a name"))
 	}
+	if r := s.RevokeWithin.Duration; r != 0 && r < minRevokeWithin {
+		group.Add(fmt.Errorf("sidecar.revoke %v: want at least %v", s.RevokeWithin, minRevokeWithin))
+	}
 	if s.Heartbeat.Duration <= 0 || s.GracePeriod.Duration <= 0 {
 		group.Add(fmt.Errorf("sidecar: want a positive heartbeat and grace"))
 	}
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"errors"
 	"net/http"
+	"net/textproto"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -57,15 +59,19 @@
 		d.incrementCounter("request.sentagain")
 	}
 	if r.Err == nil {
-		d.log.Info("request answered", "request", r.ID, "rule", r.Rule, "plan", r.Plan, "status", r.Status,
-			"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "took", r.Duration)
+		d.log.Info("request answered", withCustomer(r.Customer, "request", r.ID, "rule", r.Rule, "plan", r.Plan, "status", r.Status,
+			"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "took", r.Duration)...)
 		return
 	}
 	d.incrementCounter("request.unanswered")
-	d.log.Warn("request not answered by a target", "request", r.ID, "rule", r.Rule, "plan", r.Plan, "status", r.Status,
-		"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "took", r.Duration, "err", r.Err)
+	d.countKeyRefusal(r.Err)
+	d.log.Warn("request not answered by a target", withCustomer(r.Customer, "request", r.ID, "rule", r.Rule, "plan", r.Plan, "status", r.Status,
+		"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "took", r.Duration, "err", r.Err)...)
 }
 
+// errMalformed replaces errors whose text contains a part of a request.
+var errMalformed = Class.New("malformed header")
+
 // observeRejectedRequest counts and logs a request that could not be read, or that was
 // rejected because the daemon stops. r is nil if it could not be read.
 func (d *Daemon) observeRejectedRequest(r *receiver.Request, status int, err error) {
@@ -76,6 +82,10 @@
 		return
 	}
 	d.incrementCounter("request.unread")
+	var malformed textproto.ProtocolError
+	if errors.As(err, &malformed) {
+		err = errMalformed // the text of a ProtocolError may contain a key
+	}
 	d.log.Warn("request not read", "status", status, "err", err)
 }
 
@@ -165,6 +175,10 @@
 // serveMetrics writes the metrics as text.
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	counts := d.members.Counts()
+	if d.provesKeys() {
+		age, _ := d.attester.Age()
+		metrics.GetOrRegisterGauge("keys.proofage", d.metrics).Update(age.Milliseconds())
+	}
 	metrics.GetOrRegisterGauge("store.era", d.metrics).Update(int64(d.era()))
 	metrics.GetOrRegisterGauge("member.live", d.metrics).Update(int64(counts.Live()))
 	metrics.GetOrRegisterGauge("control.sent", d.metrics).Update(d.client.SentBytes.Load() + d.control.SentBytes.Load())
--- a/internal/sidecar/relays.go
+++ b/internal/sidecar/relays.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/attester"
 	"github.com/coltsfootlane/coltsfootlane/internal/follower"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 	"github.com/coltsfootlane/coltsfootlane/internal/ranker"
@@ -45,6 +46,8 @@
 	// milliseconds.
 	Era    uint64 `json:"era,omitempty"`
 	EraAge int64  `json:"eraage,omitempty"`
+	// Proof proves the sender's copy of the operators' records to the receiver.
+	Proof *attester.Proof `json:"proof,omitempty"`
 	// Reply marks an update that is sent only because the receiver's own lacks losses.
 	Reply bool `json:"reply,omitempty"`
 }
@@ -74,10 +77,10 @@
 }
 
 // watching reports whether the daemon watches the store itself: as a relay, or
-// because no relay that reaches the store has sent an update within
-// relayUpdateTTL.
+// because no relay that reaches the store has sent an update within relayUpdateTTL or a
+// proof in time.
 func (d *Daemon) watching() bool {
-	return d.isRelay() || !d.hasRelay()
+	return d.isRelay() || !d.hasRelay() || d.proofOverdue()
 }
 
 // hasRelay reports whether a relay that reaches the store has sent an update within
@@ -172,19 +175,23 @@
 		return
 	}
 	u := d.relayUpdate()
+	d.retainStamps(receivers)
 	for _, m := range receivers {
 		go func() {
-			d.sendUpdateTo(m.Control, u)
+			d.sendUpdateTo(m.ID, m.Control, d.withProof(u, m.ID))
 		}()
 	}
 }
 
 // sendUpdateTo sends an update to the daemon at an address.
-func (d *Daemon) sendUpdateTo(address string, u relayUpdate) {
-	if err := d.client.Call(context.Background(), address, relayUpdateMethod, u, nil); err != nil {
+func (d *Daemon) sendUpdateTo(daemon, address string, u relayUpdate) {
+	var receipt updateReceipt
+	if err := d.client.Call(context.Background(), address, relayUpdateMethod, u, &receipt); err != nil {
 		d.incrementCounter("news.failed")
 		d.log.Debug("relay update not sent", "peer", address, "err", err)
+		return
 	}
+	d.recordReceipt(daemon, receipt)
 }
 
 // relayUpdate returns the update that the daemon sends at present.
@@ -214,7 +221,7 @@
 
 // handleRelayUpdate records a relay's update and fetches the relay's records that
 // are newer than the daemon's own.
-func (d *Daemon) handleRelayUpdate(_ context.Context, u relayUpdate) (struct{}, error) {
+func (d *Daemon) handleRelayUpdate(_ context.Context, u relayUpdate) (updateReceipt, error) {
 	d.recordRelayUpdate(u.From, u.StoreReachable)
 	if u.StoreReachable {
 		if known, ok := d.relayRecoveries.Swap(u.From, u.Recoveries); ok && known != u.Recoveries {
@@ -227,7 +234,7 @@
 	for _, f := range d.followers() {
 		go d.compareCopies(f, u)
 	}
-	return struct{}{}, nil
+	return d.newReceipt(), nil
 }
 
 // compareCopies fetches the sender's copy of a prefix if it has something that the daemon's own
@@ -237,10 +244,11 @@
 	if f.Lacks(announced) {
 		d.fetchAnnouncedCopy(f, u.Control)
 	}
+	d.acceptProof(f, u)
 	if c, ok := f.Copy(); ok && !u.Reply && announced.LacksLosses(c.Mark()) {
 		reply := d.relayUpdate()
 		reply.Reply = true
-		d.sendUpdateTo(u.Control, reply)
+		d.sendUpdateTo(u.From, u.Control, reply)
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/internal/attester"
 	"github.com/coltsfootlane/coltsfootlane/internal/broadcaster"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
@@ -91,6 +92,9 @@
 	// Client reads the ID and the time limit of a client's request from its
 	// headers.
 	Client func(h http.Header) (dispatcher.Client, error)
+	// WithoutCredentials returns a copy of a client's headers without its key and the
+	// customer that it claims.
+	WithoutCredentials func(h http.Header) http.Header
 	// Codec sets the headers of requests to the target and checks its responses.
 	Codec deliverer.Codec
 }
@@ -195,6 +199,11 @@
 	storeRecoveries atomic.Uint64
 	relayRecoveries sync.Map
 	storeRecovered  chan struct{}
+	// attester holds the proof that the operators' records were the newest not long ago.
+	// It is nil if the age of a proof does not matter.
+	attester *attester.Attester
+	// unproven is set while no proof counts.
+	unproven atomic.Bool
 	// eras holds the store's eras that the daemon has seen.
 	eras eraLog
 	// fetching holds the key prefixes for which a fetch after a relay update is in
@@ -298,6 +307,13 @@
 	}
 	d.retryBudget.SetLimits(s.Sidecar.RetryRatio, s.Sidecar.RetrySlack)
 	d.quarantine = quarantiner.New(o.Clock)
+	if maxAge := s.Sidecar.RevokeWithin.Duration; maxAge > 0 {
+		d.attester = &attester.Attester{
+			Clock:  timekeeper.System{},
+			MaxAge: maxAge,
+			Token:  rand.Uint64(),
+		}
+	}
 	d.gate = &admitter.Gate{
 		Clock:       o.Clock,
 		Closed:      d.admissionClosed,
@@ -313,6 +329,7 @@
 		OnNewFact: func(spreader.Fact) {},
 	})
 	d.operatorFollower = d.newFollower(o.Platform.OperatorPrefix, d.applyOperator)
+	d.proveByReads(d.operatorFollower)
 	d.outcomeFollower = d.newFollower(o.Platform.OutcomePrefix, d.applyOutcomes)
 	d.receiver = d.newReceiver()
 	linker.Handle(d.control, memberMethod, d.handleMember)
@@ -347,18 +364,20 @@
 		KeepWaiting: d.stopping.Load,
 	}
 	dispatch := &dispatcher.Dispatcher{
-		Daemon:      d.settings.Name,
-		Caller:      d.sidecar.Service,
-		Plan:        d.plan,
-		Pool:        d.pool,
-		Client:      d.platform.Client,
-		Send:        peers.Send,
-		Deliver:     deliver.Deliver,
-		Chooser:     d.chooser,
-		RetryBudget: d.retryBudget,
-		Clock:       d.clock,
-		ServesUntil: d.servesUntil,
-		OnResult:    d.observeRequest,
+		Daemon:             d.settings.Name,
+		Caller:             d.sidecar.Service,
+		Plan:               d.plan,
+		Pool:               d.pool,
+		Client:             d.platform.Client,
+		Authenticator:      d.newAuthenticator(),
+		WithoutCredentials: d.platform.WithoutCredentials,
+		Send:               peers.Send,
+		Deliver:            deliver.Deliver,
+		Chooser:            d.chooser,
+		RetryBudget:        d.retryBudget,
+		Clock:              d.clock,
+		ServesUntil:        d.servesUntil,
+		OnResult:           d.observeRequest,
 	}
 	return &receiver.Server{
 		Handle:           dispatch.Handle,
@@ -385,7 +404,7 @@
 		Memory:        d.newMemory(responseMemoryShare),
 		Codec:         d.platform.Codec,
 		Clock:         d.clock,
-		BeforeForward: d.checkQuarantine,
+		BeforeForward: d.checkBeforeForward,
 		OnResult:      d.observeAttempt,
 		OnRejected:    d.observeRejectedAttempt,
 		OnLimit:       d.observeLimit,
