--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -55,6 +55,8 @@
 	Path   string
 	Body   string
 	Caller string
+	// Customer is the X-Tenant header, and Key the Api-Key header.
+	Customer, Key string
 	// Timeout is the X-Deadline-Ms header: the time left until the deadline, in
 	// milliseconds.
 	Timeout string
@@ -306,13 +308,15 @@
 	defer b.mu.Unlock()
 	runs = !b.faults.Shed && r.Header.Get("X-Expect-Instance") == b.instance
 	b.arrivals = append(b.arrivals, Arrival{
-		ID:      r.Header.Get("X-Attempt-Id"),
-		Path:    r.RequestURI,
-		Body:    body,
-		Caller:  r.Header.Get("X-Caller"),
-		Timeout: r.Header.Get("X-Deadline-Ms"),
-		At:      b.Clock.Now(),
-		Ran:     runs,
+		ID:       r.Header.Get("X-Attempt-Id"),
+		Path:     r.RequestURI,
+		Body:     body,
+		Caller:   r.Header.Get("X-Caller"),
+		Customer: strings.Join(r.Header.Values("X-Tenant"), ","),
+		Key:      strings.Join(r.Header.Values("Api-Key"), ","),
+		Timeout:  r.Header.Get("X-Deadline-Ms"),
+		At:       b.Clock.Now(),
+		Ran:      runs,
 	})
 	if !runs {
 		return b.faults, false, false
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -26,6 +26,15 @@
 	Service string
 	// TimeoutMs is the timeout of a request in milliseconds; 0 means 2000.
 	TimeoutMs int
+	// Public means that requests need no key.
+	Public bool
+}
+
+// Customer is a customer in a configuration, with the keys of its clients.
+type Customer struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"api_keys"`
+	Priority int      `json:"priority"`
 }
 
 // Values in the configurations that Records.Declare writes.
@@ -41,6 +50,11 @@
 // Declare writes a configuration of the given version, as an operator does, and
 // returns its revision in the store.
 func (r *Records) Declare(version int, routes ...Route) (uint64, error) {
+	return r.DeclareFor(nil, version, routes...)
+}
+
+// DeclareFor is like Declare, with customers. Requests need no keys if it is nil.
+func (r *Records) DeclareFor(customers []Customer, version int, routes ...Route) (uint64, error) {
 	services := map[string]bool{}
 	var rules, clusters []map[string]any
 	for i, route := range routes {
@@ -48,7 +62,7 @@
 			route.TimeoutMs = routeTimeoutMs
 		}
 		rules = append(rules, map[string]any{
-			"name": fmt.Sprintf("r%d", i), "kind": route.Kind, "target_latency_ms": 300, "priority": 1,
+			"name": fmt.Sprintf("r%d", i), "kind": route.Kind, "target_latency_ms": 300, "priority": 1, "public": route.Public,
 			"match":  map[string]any{"prefix": route.Prefix},
 			"action": map[string]any{"service": route.Service, "timeout_ms": route.TimeoutMs, "attempts": routeAttempts},
 		})
@@ -59,12 +73,16 @@
 			})
 		}
 	}
-	data, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"version":   fmt.Sprintf("r%d", version),
 		"limits":    map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": IdleTimeout.Milliseconds()},
 		"listeners": []any{map[string]any{"host": Host, "rules": rules}},
 		"clusters":  clusters,
-	})
+	}
+	if customers != nil {
+		config["tenants"] = customers
+	}
+	data, err := json.Marshal(config)
 	if err != nil {
 		return 0, Class.Wrap(err)
 	}
