--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/sharer"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
@@ -79,6 +80,9 @@
 	Instance string
 	// Rule is the name of the rule that applies to the request.
 	Rule string
+	// Customer is the name of the customer on whose behalf the request is made, or empty.
+	// Those of one priority share the target fairly.
+	Customer string
 	// Priority 0 is the highest.
 	Priority int
 	// Deadline is the time after which the client no longer waits for the response.
@@ -110,9 +114,11 @@
 	coldSuspected bool
 	// limit is the target's rate limit in requests per second, or 0 if there is
 	// none.
-	limit       float64
-	running     int
-	queue       []*waiter
+	limit   float64
+	running int
+	queue   []*waiter
+	// shares orders the waiters of one priority.
+	shares      sharer.Sharer
 	admittedAt  []time.Time
 	serviceTime map[string]time.Duration
 	// failureRate is the exponentially weighted average of the fraction of
@@ -201,6 +207,7 @@
 		return nil, err
 	}
 	if len(g.queue) == 0 && g.canAdmitNow(now) {
+		g.shares.Serve(g.shares.Enter(r.Customer, g.cost(r)))
 		g.admit(now)
 		return nil, nil
 	}
@@ -209,6 +216,7 @@
 	}
 	w := &waiter{
 		request: r,
+		turn:    g.shares.Enter(r.Customer, g.cost(r)),
 		result:  make(chan error, 1),
 	}
 	g.insert(w)
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -8,9 +8,22 @@
 // the rejection.
 type waiter struct {
 	request Request
-	result  chan error
+	// turn is the request's place among those of its priority.
+	turn   float64
+	result chan error
 }
 
+// precedes reports whether a waiter is served before a request of a priority with a turn.
+func (w *waiter) precedes(priority int, turn float64) bool {
+	if w.request.Priority != priority {
+		return w.request.Priority < priority
+	}
+	return w.turn <= turn
+}
+
+// cost returns the time that a request is expected to take, in seconds.
+func (g *Gate) cost(r Request) float64 { return g.meanServiceTime(r.Rule).Seconds() }
+
 // isStanding reports whether the queue has been non-empty for longer than maxBurst
 // (a standing queue, as in CoDel). Such a queue delays every response and does not
 // increase throughput. isStanding also sets emptyAt if the queue is empty.
@@ -22,24 +35,25 @@
 }
 
 // makeRoom reports whether there is room in the queue. If the queue is full and
-// its last waiter has a lower priority, that waiter is rejected.
+// its last waiter would be served after the request, that waiter is rejected.
 func (g *Gate) makeRoom(r Request) bool {
 	if len(g.queue) < maxQueuePerSlot*g.target.Slots {
 		return true
 	}
 	last := g.queue[len(g.queue)-1]
-	if last.request.Priority <= r.Priority {
+	if last.precedes(r.Priority, g.shares.Turn(r.Customer)) {
 		return false
 	}
 	g.queue = g.queue[:len(g.queue)-1]
+	g.shares.Leave(last.request.Customer, g.cost(last.request))
 	last.result <- ErrBusy
 	return true
 }
 
-// insert queues a waiter behind those of the same or a higher priority.
+// insert queues a waiter behind those that are served before it.
 func (g *Gate) insert(w *waiter) {
 	i := len(g.queue)
-	for i > 0 && g.queue[i-1].request.Priority > w.request.Priority {
+	for i > 0 && !g.queue[i-1].precedes(w.request.Priority, w.turn) {
 		i--
 	}
 	g.queue = append(g.queue, nil)
@@ -50,10 +64,10 @@
 // expectedWait estimates how long a request would queue. rateDelay is the delay that
 // rateWait has returned.
 func (g *Gate) expectedWait(r Request, rateDelay time.Duration) time.Duration {
-	ahead := 0
+	ahead, turn := 0, g.shares.Turn(r.Customer)
 	total := g.meanServiceTime(r.Rule)
 	for _, w := range g.queue {
-		if w.request.Priority <= r.Priority {
+		if w.precedes(r.Priority, turn) {
 			ahead++
 			total += g.meanServiceTime(w.request.Rule)
 		}
@@ -74,10 +88,13 @@
 		err := g.checkTarget(w.request, now)
 		switch {
 		case err == ErrDeadline:
+			g.shares.Leave(w.request.Customer, g.cost(w.request))
 			w.result <- ErrQueueTimeout
 		case err != nil:
+			g.shares.Leave(w.request.Customer, g.cost(w.request))
 			w.result <- err
 		case g.canAdmitNow(now):
+			g.shares.Serve(w.turn)
 			g.admit(now)
 			w.result <- nil
 		default:
@@ -120,6 +137,7 @@
 	for i, q := range g.queue {
 		if q == w {
 			g.queue = append(g.queue[:i], g.queue[i+1:]...)
+			g.shares.Leave(w.request.Customer, g.cost(w.request))
 			return true
 		}
 	}
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -126,6 +126,7 @@
 	slotRequest := admitter.Request{
 		Instance:  a.Instance,
 		Rule:      a.Rule,
+		Customer:  a.Identity.Customer,
 		Priority:  a.Priority,
 		Deadline:  a.Deadline,
 		Objective: a.Objective,
