--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/sharer"
 )
 
 // waiter is a queued request. result receives nil when the request is admitted, or
@@ -9,7 +11,7 @@
 type waiter struct {
 	request Request
 	// turn is the request's place among those of its priority.
-	turn   float64
+	turn   sharer.Turn
 	result chan error
 }
 
@@ -18,7 +20,7 @@
 	if w.request.Priority != priority {
 		return w.request.Priority < priority
 	}
-	return w.turn <= turn
+	return w.turn.At <= turn
 }
 
 // cost returns the time that a request is expected to take, in seconds.
@@ -41,11 +43,11 @@
 		return true
 	}
 	last := g.queue[len(g.queue)-1]
-	if last.precedes(r.Priority, g.shares.Turn(r.Customer)) {
+	if last.precedes(r.Priority, g.shares.Next(r.Customer)) {
 		return false
 	}
 	g.queue = g.queue[:len(g.queue)-1]
-	g.shares.Leave(last.request.Customer, g.cost(last.request))
+	g.shares.Leave(last.turn)
 	last.result <- ErrBusy
 	return true
 }
@@ -53,7 +55,7 @@
 // insert queues a waiter behind those that are served before it.
 func (g *Gate) insert(w *waiter) {
 	i := len(g.queue)
-	for i > 0 && !g.queue[i-1].precedes(w.request.Priority, w.turn) {
+	for i > 0 && !g.queue[i-1].precedes(w.request.Priority, w.turn.At) {
 		i--
 	}
 	g.queue = append(g.queue, nil)
@@ -64,7 +66,7 @@
 // expectedWait estimates how long a request would queue. rateDelay is the delay that
 // rateWait has returned.
 func (g *Gate) expectedWait(r Request, rateDelay time.Duration) time.Duration {
-	ahead, turn := 0, g.shares.Turn(r.Customer)
+	ahead, turn := 0, g.shares.Next(r.Customer)
 	total := g.meanServiceTime(r.Rule)
 	for _, w := range g.queue {
 		if w.precedes(r.Priority, turn) {
@@ -88,10 +90,10 @@
 		err := g.checkTarget(w.request, now)
 		switch {
 		case err == ErrDeadline:
-			g.shares.Leave(w.request.Customer, g.cost(w.request))
+			g.shares.Leave(w.turn)
 			w.result <- ErrQueueTimeout
 		case err != nil:
-			g.shares.Leave(w.request.Customer, g.cost(w.request))
+			g.shares.Leave(w.turn)
 			w.result <- err
 		case g.canAdmitNow(now):
 			g.shares.Serve(w.turn)
@@ -137,7 +139,7 @@
 	for i, q := range g.queue {
 		if q == w {
 			g.queue = append(g.queue[:i], g.queue[i+1:]...)
-			g.shares.Leave(w.request.Customer, g.cost(w.request))
+			g.shares.Leave(w.turn)
 			return true
 		}
 	}
