sidecar: report usage as a duty of one daemon at a time

Change: daemons count at their target, the holder collects by a call between daemons, fixes a report in the store and sends it. Off without settings.duties: no key, no call, no message, no line, shown by TestNoDutyWithoutSettings.

--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -21,6 +21,7 @@
 	relayUpdateMethod = "news"
 	crashMethod       = "crash"
 	quarantineMethod  = "quarantine"
+	countsMethod      = "counts"
 )
 
 // Polling intervals.
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -173,6 +173,7 @@
 		metrics.GetOrRegisterGauge("member.targets", d.metrics).Update(int64(v.targets))
 		metrics.GetOrRegisterGauge("plan.version", d.metrics).Update(int64(v.plan.Version))
 	}
+	d.usage.observe()
 	w.Header().Set("Content-Type", "text/plain")
 	metrics.WriteOnce(d.metrics, w)
 }
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -11,6 +11,7 @@
 		return
 	}
 	d.setLevel(s.Log)
+	d.usage.reload(s.Sidecar)
 	d.retryBudget.SetLimits(s.Sidecar.RetryRatio, s.Sidecar.RetrySlack)
 	if s.Listen != d.settings.Listen || s.Platform != d.settings.Platform || s.Sidecar.Target != d.sidecar.Target {
 		d.log.Warn("changed addresses take effect only after a restart")
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -93,6 +93,10 @@
 	Client func(h http.Header) (dispatcher.Client, error)
 	// Codec sets the headers of requests to the target and checks its responses.
 	Codec deliverer.Codec
+	// DutyPrefix is the key prefix of the elections of the holders of duties. UsageDuty is the
+	// platform's name of the duty to report usage, and NewUsageReport returns the call.
+	DutyPrefix, UsageDuty string
+	NewUsageReport        func(ctx context.Context, u UsageReport) (*http.Request, error)
 }
 
 // Options holds the parameters of New.
@@ -127,6 +131,8 @@
 	retryBudget      *dispatcher.RetryBudget
 	// quarantine identifies the requests that crash targets.
 	quarantine *quarantiner.Quarantiner
+	// usage is the daemon's part in the duty to report usage, or nil.
+	usage *usageDuty
 
 	// view is the state by which requests are routed.
 	view atomic.Pointer[view]
@@ -314,6 +320,7 @@
 	})
 	d.operatorFollower = d.newFollower(o.Platform.OperatorPrefix, d.applyOperator)
 	d.outcomeFollower = d.newFollower(o.Platform.OutcomePrefix, d.applyOutcomes)
+	d.usage = newUsageDuty(d)
 	d.receiver = d.newReceiver()
 	linker.Handle(d.control, memberMethod, d.handleMember)
 	linker.Handle(d.control, joinMethod, d.handleJoin)
@@ -322,6 +329,9 @@
 	linker.Handle(d.control, relayUpdateMethod, d.handleRelayUpdate)
 	linker.Handle(d.control, withdrawMethod, d.handleWithdraw)
 	linker.Handle(d.control, copyMethod, d.handleCopy)
+	if d.usage != nil {
+		linker.Handle(d.control, countsMethod, d.usage.handleCounts)
+	}
 	d.broadcaster = &broadcaster.Broadcaster{
 		Call:   d.callMember,
 		Handle: d.handleEvent,
@@ -385,7 +395,7 @@
 		Memory:        d.newMemory(responseMemoryShare),
 		Codec:         d.platform.Codec,
 		Clock:         d.clock,
-		BeforeForward: d.checkQuarantine,
+		BeforeForward: d.beforeForward,
 		OnResult:      d.observeAttempt,
 		OnRejected:    d.observeRejectedAttempt,
 		OnLimit:       d.observeLimit,
@@ -450,7 +460,7 @@
 			}
 		})
 	}
-	for _, run := range []func(context.Context){d.operatorFollower.Run, d.outcomeFollower.Run, d.runRelay, d.gossip, d.runRefresh, d.register, d.pollPeers, d.writeOutcomes, d.watchTarget, d.writeDepartures, d.expireDepartures, d.readQuarantine} {
+	for _, run := range []func(context.Context){d.operatorFollower.Run, d.outcomeFollower.Run, d.runRelay, d.gossip, d.runRefresh, d.register, d.pollPeers, d.writeOutcomes, d.watchTarget, d.writeDepartures, d.expireDepartures, d.readQuarantine, d.runUsage} {
 		group.Go(func() { run(runCtx) })
 	}
 	d.log.Info("daemon started", "service", d.sidecar.Service, "traffic", d.settings.Listen.Traffic, "admit", d.settings.Listen.Admit)
