sidecar: a daemon that stops waits until its last counts are collected

Change: after the shutdown, a daemon waits up to 1.2 s, within its grace period, for the next call of a holder that it has seen lately.

--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -48,6 +48,8 @@
 	standbyPeriod = 2 * time.Second
 	// answerTime is the time after its last answer for which a daemon that has left is asked.
 	answerTime = 5 * time.Second
+	// handOverMargin is how much longer than collectPeriod a daemon that stops waits for a call.
+	handOverMargin = 200 * time.Millisecond
 	// maxCollections bounds the collecting calls in progress. A call that took longer than
 	// maxClockDelay says nothing about the other daemon's clock.
 	maxCollections = 32
@@ -107,6 +109,8 @@
 	// holderSeen is the time of the last collecting call of a holder, and corrected that of
 	// the last correction of the clock.
 	holderSeen, corrected timekeeper.Reading
+	// told is the sequence number of the ledger up to which a holder was told the counts.
+	told uint64
 }
 
 // newUsageDuty returns the daemon's part in the duty, or nil if the settings have none.
@@ -228,9 +232,36 @@
 		Window: u.fixed.Load(),
 	}
 	reply.Delta = u.ledger.Since(r.Incarnation, r.Sequence)
+	if r.Holding {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.told = max(u.told, reply.Sequence)
+	}
 	return reply, nil
 }
 
+// handOver waits at the end of a shutdown until a holder was told the last counts, if there is
+// one. It ends before the grace period does.
+func (u *usageDuty) handOver() {
+	if u == nil {
+		return
+	}
+	end := u.daemon.clock.Now().Add(collectPeriod + handOverMargin)
+	if servesUntil := u.daemon.servesUntil(); servesUntil.Before(end) {
+		end = servesUntil
+	}
+	for u.daemon.clock.Now().Before(end) && u.hasMore() {
+		time.Sleep(shutdownPollInterval)
+	}
+}
+
+// hasMore reports whether a holder asks for counts and was not told all of them.
+func (u *usageDuty) hasMore() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.told < u.ledger.Sequence() && u.read().Since(u.holderSeen) < 2*collectPeriod
+}
+
 // correctClock moves the clock.
 func (u *usageDuty) correctClock(by time.Duration) {
 	u.clock.Correct(by)
--- a/internal/sidecar/duties_test.go
+++ b/internal/sidecar/duties_test.go
@@ -179,6 +179,11 @@
 // sendAttempt sends an attempt of a customer's request to the node's daemon, as another daemon
 // does. It has no ID, so that the target's refusal needs none.
 func (n *node) sendAttempt(customer string) error {
+	return n.sendAttemptWithin(customer, waitTimeout)
+}
+
+// sendAttemptWithin is like sendAttempt for a client that waits for a time.
+func (n *node) sendAttemptWithin(customer string, timeLeft time.Duration) error {
 	client := carrier.Client{
 		Key:       n.settings.Key,
 		Transport: http.DefaultTransport,
@@ -192,8 +197,8 @@
 		Rule:     "a.example/s/",
 		Kind:     matcher.Idempotent,
 		Customer: customer,
-		Deadline: time.Now().Add(waitTimeout),
-		MaxWait:  waitTimeout,
+		Deadline: time.Now().Add(timeLeft),
+		MaxWait:  timeLeft,
 		Method:   "GET",
 		URI:      "/s/",
 		Host:     "a.example",
@@ -299,6 +304,34 @@
 	}
 }
 
+// TestLeavingDaemonTellsItsLastCounts checks that a daemon that stops is asked once more for the
+// counts of what its target has begun since the last time.
+func TestLeavingDaemonTellsItsLastCounts(t *testing.T) {
+	m, api := usageMesh(t, "zilina", "martin", "zilina")
+	want := map[string]int{}
+	m.sendAll(2, want, "huka")
+	holder := m.holder(api)
+	for _, n := range m.nodes {
+		if n == holder {
+			continue
+		}
+		n.stop()
+		var err error
+		for err == nil {
+			if err = n.sendAttemptWithin("puhu", 2*time.Second); err == nil {
+				want["puhu"]++
+			}
+		}
+		t.Logf("%d attempts until it stopped: %v", want["puhu"], err)
+		<-n.ended
+		break
+	}
+	if want["puhu"] == 0 {
+		t.Fatal("the daemon that stops serves nothing")
+	}
+	m.waitForTotal(api, want)
+}
+
 // TestHolderWithoutStoreIsReplaced checks that a holder which the store does not answer stops
 // before its successor begins.
 func TestHolderWithoutStoreIsReplaced(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -470,6 +470,7 @@
 	case <-ctx.Done():
 	}
 	d.shutdown()
+	d.usage.handOver()
 	open, busy := d.receiver.Connections()
 	d.log.Info("daemon stopped", "connections", open, "busy", busy, "running", d.gate.Running(), "peers", d.attempts.Busy())
 	return nil
--- a/internal/tallier/ledger.go
+++ b/internal/tallier/ledger.go
@@ -102,6 +102,13 @@
 	return d
 }
 
+// Sequence returns the sequence number of the last change.
+func (l *Ledger) Sequence() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sequence
+}
+
 // Forget drops the windows before a number.
 func (l *Ledger) Forget(before int64) {
 	l.mu.Lock()
