--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -534,7 +534,7 @@
 		d.incrementCounter("duty.incomplete")
 		d.log.Warn("usage report lacks counts", "window", next, "missing", missing)
 	}
-	d.log.Info("usage report fixed", "window", next, "fence", t.Record.Fence, "customers", len(counts), "sinceend", now.Sub(u.calendar.End(next)))
+	d.log.Info("usage report fixed", "window", next, "fence", t.Record.Fence, "customers", len(counts), "requests", counts.Total(), "sinceend", now.Sub(u.calendar.End(next)))
 }
 
 // send sends the report that is fixed, and returns what was sent then.
--- a/internal/tallier/ledger.go
+++ b/internal/tallier/ledger.go
@@ -10,6 +10,15 @@
 // Counts holds the number of requests by customer.
 type Counts map[string]int
 
+// Total returns the number of requests of all customers.
+func (c Counts) Total() int {
+	total := 0
+	for _, n := range c {
+		total += n
+	}
+	return total
+}
+
 // Delta is what has changed in a ledger. Its counts are totals, not differences, so that
 // applying it twice has no effect.
 type Delta struct {
