--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -108,7 +108,7 @@
 		return 0
 	}
 	now := e.Read()
-	if t.succeeds && min(now.Steady-t.began.Steady, now.Boot-t.began.Boot) < e.Lease+e.Margin {
+	if t.succeeds && min(now.Monotonic-t.began.Monotonic, now.Boot-t.began.Boot) < e.Lease+e.Margin {
 		return 0
 	}
 	return max(0, e.Lease-e.Margin-now.Since(t.renewed))
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -144,11 +144,11 @@
 		Margin: margin,
 		Read: func() timekeeper.Reading {
 			r := timekeeper.Reading{
-				Steady: s.now,
-				Boot:   s.now,
+				Monotonic: s.now,
+				Boot:      s.now,
 			}
 			if suspended != nil {
-				r.Steady -= *suspended
+				r.Monotonic -= *suspended
 			}
 			return r
 		},
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -119,7 +119,7 @@
 	if !ok {
 		return nil
 	}
-	read := timekeeper.NewReader(d.clock)
+	read := timekeeper.System{}.Read
 	u := &usageDuty{
 		daemon: d,
 		calendar: tallier.Calendar{
@@ -161,7 +161,7 @@
 }
 
 // now returns the time of day that a jump of the machine's does not move.
-func (u *usageDuty) now() time.Time { return u.clock.At(u.read().Steady) }
+func (u *usageDuty) now() time.Time { return u.clock.At(u.read().Monotonic) }
 
 // beforeForward is called before an attempt is forwarded to the target. It counts the attempt if
 // it belongs to a customer, until the target refuses it.
--- a/internal/timekeeper/steady_test.go
+++ b/internal/timekeeper/steadier_test.go
@@ -19,7 +19,7 @@
 func (m *machine) run(s *Steadier, t time.Duration) {
 	for ; t > 0; t -= time.Second {
 		m.wall = m.wall.Add(time.Second)
-		m.reading.Steady += time.Second
+		m.reading.Monotonic += time.Second
 		m.reading.Boot += time.Second
 		s.Sample()
 	}
@@ -28,7 +28,7 @@
 // checkOffset checks how far a Steadier is ahead of a true time.
 func checkOffset(t *testing.T, s *Steadier, m *machine, truth time.Time, want, tolerance time.Duration) {
 	t.Helper()
-	if got := s.At(m.reading.Steady).Sub(truth); (got - want).Abs() > tolerance {
+	if got := s.At(m.reading.Monotonic).Sub(truth); (got - want).Abs() > tolerance {
 		t.Errorf("time is %v ahead, want %v within %v", got, want, tolerance)
 	}
 }
