--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -81,6 +81,9 @@
 	RevokeWithin parser.Duration `json:"revoke,omitzero"`
 	// MemoryMiB is the memory limit of the process in MiB.
 	MemoryMiB int `json:"memory"`
+	// Duties are the calls to the platform that one daemon at a time makes, by the platform's
+	// names of them.
+	Duties map[string]Duty `json:"duties,omitempty"`
 }
 
 // minRevokeWithin is the lowest RevokeWithin. Daemons learn of the state of the store with a
@@ -104,6 +107,9 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.MemoryMiB <= 0 {
 		group.Add(fmt.Errorf("sidecar: want retry ratio and slack of at least 0, and positive memory"))
 	}
+	for name, d := range s.Duties {
+		d.check("sidecar.duties."+name, group)
+	}
 }
 
 // Listen contains the addresses that a daemon listens on, as IP:port.
