--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -239,6 +239,7 @@
 	f, runs, fails := b.recordArrival(r, string(body))
 	h := w.Header()
 	h.Set("X-Instance-Id", b.instance)
+	h.Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	if !runs {
 		status := http.StatusServiceUnavailable
 		if r.Header.Get("X-Expect-Instance") != b.instance {
@@ -262,7 +263,6 @@
 	if f.LoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
-	h.Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	if f.WrongAttemptID {
 		h.Set("X-Attempt-Id", "another")
 	}
