--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -217,10 +217,17 @@
 			failed:  true,
 		},
 		"not run": {
+			respond: func(conn net.Conn, r *http.Request) {
+				_, _ = io.WriteString(conn, responseHead(r, "503 Busy", "X-Not-Executed: 1\r\nContent-Length: 0\r\n"))
+			},
+			verdict: classifier.NotRun,
+			failed:  true,
+		},
+		"not run, without the request's ID": {
 			respond: func(conn net.Conn, _ *http.Request) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 			},
-			verdict: classifier.NotRun,
+			verdict: classifier.MayHaveRun,
 			failed:  true,
 		},
 	} {
