--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -39,3 +39,21 @@
 		})
 	}
 }
+
+func TestParseRevoke(t *testing.T) {
+	const file = `{"name":"a","dc":"d","listen":{"traffic":"127.0.0.1:1","admit":"127.0.0.1:2","control":"127.0.0.1:3","operator":"127.0.0.1:4"},
+"platform":"127.0.0.1:9","key":"0123456789abcdef","sidecar":{"service":"s","target":"127.0.0.1:5","ready":"127.0.0.1:6","metrics":"127.0.0.1:7",
+"heartbeat":"1s","grace":"6s","memory":100REVOKE}}`
+	for revoke, valid := range map[string]bool{
+		"":                  true,
+		`,"revoke":"3s"`:    true,
+		`,"revoke":"2.9s"`:  false,
+		`,"revoke":"-5s"`:   false,
+		`,"revoke":5000`:    false,
+		`,"revoke":"5 sec"`: false,
+	} {
+		if _, err := loader.Parse("x.jsonc", []byte(strings.Replace(file, "REVOKE", revoke, 1))); (err == nil) != valid {
+			t.Errorf("%q: error %v, want valid %v", revoke, err, valid)
+		}
+	}
+}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -15,5 +15,8 @@
 	if s.Listen != d.settings.Listen || s.Platform != d.settings.Platform || s.Sidecar.Target != d.sidecar.Target {
 		d.log.Warn("changed addresses take effect only after a restart")
 	}
+	if s.Sidecar.RevokeWithin != d.sidecar.RevokeWithin {
+		d.log.Warn("a changed time for removed keys takes effect only after a restart", "set", s.Sidecar.RevokeWithin, "inforce", d.sidecar.RevokeWithin)
+	}
 	d.log.Info("settings reloaded")
 }
