--- a/cmd/coltsfootsoak/main.go
+++ b/cmd/coltsfootsoak/main.go
@@ -34,6 +34,7 @@
 	concurrency := app.Flag("jobs", "Number of seeds to run concurrently.").Default("1").Int()
 	daemons := app.Flag("daemons", "Number of daemons for each seed.").Default("6").Int()
 	length := app.Flag("length", "Duration of the fault injection.").Default("20s").Duration()
+	keys := app.Flag("keys", "Let each configuration remove a key, and check that it is refused everywhere.").Bool()
 	dir := app.Flag("dir", "Directory for settings and logs.").Default("soak").String()
 	events := app.Flag("events", "Print the injected faults of each seed.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -51,6 +52,7 @@
 				Seed:    *first + uint64(i),
 				Nodes:   *daemons,
 				Length:  *length,
+				Keys:    *keys,
 			}, *events)
 			return err
 		})
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -50,6 +50,8 @@
 	ID   string
 	Path string
 	Body string
+	// Key is the key that the client presents, or empty.
+	Key string
 	// Timeout is the timeout that the client sends in the X-Deadline-Ms header.
 	Timeout time.Duration
 }
@@ -128,6 +130,9 @@
 	r.ContentLength = int64(len(call.Body))
 	r.Host = Host
 	r.Header.Set("X-Attempt-Id", call.ID)
+	if call.Key != "" {
+		r.Header.Set("Api-Key", call.Key)
+	}
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(call.Timeout.Milliseconds(), 10))
 	resp, err := c.transport.RoundTrip(r)
 	if err != nil {
--- a/internal/soaker/node.go
+++ b/internal/soaker/node.go
@@ -260,6 +260,8 @@
 	recent bool
 	// body is the maximum size of a request body, in bytes.
 	body int
+	// key is the key that clients present, or empty.
+	key string
 }
 
 var routes = []route{
@@ -295,6 +297,7 @@
 			ID:      id,
 			Path:    prefix + id,
 			Body:    string(body),
+			Key:     r.key,
 			Timeout: clientTimeout,
 		},
 		NonIdempotent: r.nonIdempotent,
--- a/internal/soaker/run.go
+++ b/internal/soaker/run.go
@@ -149,6 +149,7 @@
 	defer s.adjustStoreFault(StoreRefuse, -1)
 	time.Sleep(restoreOutage)
 	s.store.Restore(b)
+	s.removedKeys.forget()
 }
 
 // startMove requests a move of the main service to the next version and
@@ -225,6 +226,9 @@
 	defer c.Close()
 	random := rand.New(rand.NewPCG(s.options.Seed, 0))
 	checkedRoutes := append([]route{newestRoute}, routes...)
+	if s.options.Keys {
+		checkedRoutes = append(checkedRoutes, keptRoute)
+	}
 	consecutive := 0
 	for i := 0; time.Now().Before(deadline); i++ {
 		r := checkedRoutes[i%len(checkedRoutes)]
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -39,6 +39,9 @@
 	Nodes int
 	// Length is how long faults are injected.
 	Length time.Duration
+	// Keys makes each configuration remove a key of the one before, which must then be
+	// refused everywhere.
+	Keys bool
 	// Events replaces the events generated from Seed, unless it is nil.
 	Events []Event
 }
@@ -112,6 +115,8 @@
 	host          string
 	port          int
 
+	removedKeys removedKeys
+
 	mu sync.Mutex
 	// configVersion is the number of declared configurations. It is also the version
 	// of the newest one.
@@ -195,6 +200,11 @@
 			background.Go(func() { n.generateLoad(loadCtx, fmt.Sprint("rare-", c), rareThinkTime, random) })
 		}
 	}
+	if s.options.Keys {
+		for _, n := range s.nodes {
+			background.Go(func() { s.sendRemovedKeys(loadCtx, n) })
+		}
+	}
 	s.runEvents(ctx, events)
 	if ctx.Err() != nil {
 		return Class.Wrap(ctx.Err())
@@ -211,6 +221,7 @@
 		n.crashTarget()
 	}
 	s.checkMove()
+	s.checkRemovedKeys()
 	return nil
 }
 
@@ -301,6 +312,9 @@
 			MemoryMiB:   256,
 		},
 	}
+	if s.options.Keys {
+		n.settings.Sidecar.RevokeWithin = parser.Duration{Duration: revokeWithin}
+	}
 	data, err := json.Marshal(n.settings)
 	if err != nil {
 		return Class.Wrap(err)
@@ -338,10 +352,14 @@
 	for i := range routes {
 		routes[i].TimeoutMs = int(s.routeTimeout.Milliseconds())
 	}
-	_, err := s.store.Declare(s.configVersion, routes...)
-	if err != nil {
+	var customers []emulator.Customer
+	if s.options.Keys {
+		customers, routes = withKeys(s.configVersion, routes)
+	}
+	if _, err := s.store.DeclareFor(customers, s.configVersion, routes...); err != nil {
 		s.ledger.AddViolation("soak: %v", err)
 	}
+	s.removedKeys.add(keyOf(s.configVersion - 1))
 }
 
 // close stops all processes, targets, links and the store.
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -31,10 +31,12 @@
 	// Without -full, the test runs shortSeeds seeds for shortLength each.
 	shortLength = 6 * time.Second
 	shortSeeds  = 2
+	// keysSeed is the seed of the run with keys.
+	keysSeed = 900
 )
 
 // runSoak runs one seed. It keeps the settings and logs if the test fails.
-func runSoak(t *testing.T, program string, seed uint64, length time.Duration) {
+func runSoak(t *testing.T, program string, seed uint64, length time.Duration, keys bool) {
 	dir, err := os.MkdirTemp("", "soak-")
 	if err != nil {
 		t.Fatal(err)
@@ -45,6 +47,7 @@
 		Seed:    seed,
 		Nodes:   testNodes,
 		Length:  length,
+		Keys:    keys,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -72,7 +75,7 @@
 		for seed := range uint64(shortSeeds) {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
-				runSoak(t, program, seed, shortLength)
+				runSoak(t, program, seed, shortLength, false)
 			})
 		}
 		return
@@ -87,6 +90,11 @@
 		t.Fatal(err)
 	}
 	for _, c := range cases {
-		t.Run(fmt.Sprint(c.Seed), func(t *testing.T) { runSoak(t, program, c.Seed, testLength) })
+		t.Run(fmt.Sprint(c.Seed), func(t *testing.T) { runSoak(t, program, c.Seed, testLength, false) })
 	}
 }
+
+// TestSoakWithKeys runs a seed whose configurations remove keys while faults are injected.
+func TestSoakWithKeys(t *testing.T) {
+	runSoak(t, soaker.BuildDaemon(t), keysSeed, testLength, true)
+}
