--- a/internal/sidecar/duties_test.go
+++ b/internal/sidecar/duties_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/soaker"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/parser"
 )
 
@@ -394,6 +396,48 @@
 	m.waitForTotal(api, want)
 }
 
+// steppedClock is a system clock that is wrong by an offset.
+type steppedClock struct {
+	offset atomic.Int64
+}
+
+func (c *steppedClock) Now() time.Time { return time.Now().Add(time.Duration(c.offset.Load())) }
+
+// TestUsageWithWrongClocks checks that requests are counted in the windows in which they began
+// although the clock of one daemon was wrong at its start, and that of another one is stepped.
+func TestUsageWithWrongClocks(t *testing.T) {
+	m := newMesh(t)
+	api := newUsageAPI(m)
+	wrong, stepped := &steppedClock{}, &steppedClock{}
+	wrong.offset.Store(int64(3 * time.Second))
+	for _, clock := range []timekeeper.Clock{wrong, stepped, timekeeper.System{}, timekeeper.System{}, timekeeper.System{}} {
+		m.clock = clock
+		m.addNode("zilina", "renewal", "v1")
+	}
+	m.writePlan(1, safeRule)
+	m.waitForMembers()
+	m.waitFor("the wrong clock is corrected", func() bool { return m.nodes[0].count("counter", "duty.clock") > 0 })
+	want := map[string]int{}
+	for _, step := range []time.Duration{3 * time.Second, -3 * time.Second, 0} {
+		stepped.offset.Store(int64(step))
+		time.Sleep(2 * time.Second) // the machines look at their clocks
+		first := time.Now().UnixMilli() / usageWindow.Milliseconds()
+		before := api.total()["huka"]
+		m.sendAll(5, want, "huka")
+		last := time.Now().UnixMilli() / usageWindow.Milliseconds()
+		m.waitForTotal(api, want)
+		sum := 0
+		for window, c := range api.accepted() {
+			if window >= first && window <= last {
+				sum += c.counts["huka"]
+			}
+		}
+		if sum != want["huka"]-before {
+			t.Errorf("clock stepped by %v: windows %d to %d have %d requests, want %d", step, first, last, sum, want["huka"]-before)
+		}
+	}
+}
+
 // TestNoDutyWithoutSettings checks that a daemon whose settings have no duty neither campaigns
 // nor logs anything of one, and answers no collecting call.
 func TestNoDutyWithoutSettings(t *testing.T) {
