admitter: no cold limit where operators declare none

A plan without a cold rate for a service was taken for a rate of 0, which the gate raised to one request a second. So each target got one request a second for the whole of its warm-up, and while it was suspected to have restarted.

Change: 0 means that there is no bound. TestColdTargetWithoutBound failed before ("target cold" at the second request).

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -70,7 +70,7 @@
 	// WarmupLeft is the time until the target is warm.
 	WarmupLeft time.Duration
 	// ColdRate is the number of requests per second that the target can take while
-	// it is cold.
+	// it is cold, or 0 if operators declare no bound.
 	ColdRate float64
 }
 
@@ -294,12 +294,15 @@
 func (g *Gate) cold(now time.Time) bool { return g.coldSuspected || now.Before(g.coldUntil) }
 
 // coldRate returns the number of requests per second that the target can take
-// while cold.
+// while cold, or 0 if there is no bound.
 func (g *Gate) coldRate() float64 {
-	if g.target == nil || g.target.ColdRate < 1 {
+	switch {
+	case g.target == nil:
 		return 1
+	case g.target.ColdRate == 0:
+		return 0
 	}
-	return g.target.ColdRate
+	return max(1, g.target.ColdRate)
 }
 
 func (g *Gate) canAdmitNow(now time.Time) bool {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -523,3 +523,23 @@
 		t.Error(err)
 	}
 }
+
+// TestColdTargetWithoutBound guards against cold targets that get one request per second
+// although operators declare no bound for them. After a power loss all targets are cold.
+func TestColdTargetWithoutBound(t *testing.T) {
+	cold := target()
+	cold.WarmupLeft = 3 * time.Second
+	cold.ColdRate = 0
+	r := newHarness(cold)
+	for i := range 20 {
+		if err := r.acquire(r.newRequest()); err != nil {
+			t.Fatalf("request %d: error %v, want nil", i, err)
+		}
+		r.Release("status", admitter.Outcome{Duration: 10 * time.Millisecond})
+		r.clock.Advance(10 * time.Millisecond)
+	}
+	r.SetLimit("i-1", 2)
+	if err := r.acquire(r.newRequest()); !errors.Is(err, admitter.ErrLimited) {
+		t.Errorf("with a limit of the target: error %v, want %v", err, admitter.ErrLimited)
+	}
+}
--- a/internal/admitter/rate.go
+++ b/internal/admitter/rate.go
@@ -32,8 +32,8 @@
 // rate returns the rate limit in force, in requests per second: that of the target or,
 // while it is cold, the cold rate if that is lower. It returns 0 if there is none.
 func (g *Gate) rate(now time.Time) float64 {
-	if g.cold(now) && (g.limit == 0 || g.coldRate() < g.limit) {
-		return g.coldRate()
+	if coldRate := g.coldRate(); coldRate > 0 && g.cold(now) && (g.limit == 0 || coldRate < g.limit) {
+		return coldRate
 	}
 	return g.limit
 }
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -49,7 +49,8 @@
 // Service holds what operators declare about a service's targets.
 type Service struct {
 	Name string
-	// ColdRate is the number of requests per second that a cold target can take.
+	// ColdRate is the number of requests per second that a cold target can take, or 0
+	// if there is no bound.
 	ColdRate float64
 }
 
