dispatcher, admitter: refuse early and cheaply what finds no slot

Change, for rules whose timeout is at least 2.75 times the objective: - A request queues at the first target for half of the time that is useful, at the second for all of it, and is then rejected. - throttler: asks fewer targets while most requests are rejected, and spreads those that come back over the time in which the slots take as many. - Clients that have waited for longer than their objective get slots after others. For all: requests that a target makes while it runs one go first at the gate, then priority, then the earlier objective.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -81,6 +81,10 @@
 	Rule string
 	// Priority 0 is the highest.
 	Priority int
+	// Nested means that a target makes the request while it runs another one.
+	Nested bool
+	// Late means that the client has waited for longer than its objective already.
+	Late bool
 	// Deadline is the time after which the client no longer waits for the response.
 	Deadline time.Time
 	// Objective is the time by which the response should be sent.
@@ -142,6 +146,19 @@
 	g.serveQueue()
 }
 
+// SetColdRate replaces the ColdRate of the target.
+func (g *Gate) SetColdRate(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target == nil || g.target.ColdRate == perSecond {
+		return
+	}
+	t := *g.target
+	t.ColdRate = perSecond
+	g.target = &t
+	g.serveQueue()
+}
+
 // SuspectCold treats the target as cold until its next announcement. It is called when
 // the target may have restarted: after a failed connection, missed announcements,
 // or a time in which its zone was evacuated.
@@ -209,6 +226,7 @@
 	}
 	w := &waiter{
 		request: r,
+		since:   now,
 		result:  make(chan error, 1),
 	}
 	g.insert(w)
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -538,6 +538,11 @@
 		r.Release("status", admitter.Outcome{Duration: 10 * time.Millisecond})
 		r.clock.Advance(10 * time.Millisecond)
 	}
+	r.SetColdRate(5)
+	if err := r.acquire(r.newRequest()); !errors.Is(err, admitter.ErrCold) {
+		t.Errorf("with a bound: error %v, want %v", err, admitter.ErrCold)
+	}
+	r.SetColdRate(0)
 	r.SetLimit("i-1", 2)
 	if err := r.acquire(r.newRequest()); !errors.Is(err, admitter.ErrLimited) {
 		t.Errorf("with a limit of the target: error %v, want %v", err, admitter.ErrLimited)
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -8,6 +8,7 @@
 // the rejection.
 type waiter struct {
 	request Request
+	since   time.Time
 	result  chan error
 }
 
@@ -21,14 +22,30 @@
 	return now.Sub(g.emptyAt) > maxBurst
 }
 
-// makeRoom reports whether there is room in the queue. If the queue is full and
-// its last waiter has a lower priority, that waiter is rejected.
+// precedes reports whether a request goes before another one in the queue. Nested requests
+// go first: if one fails, the work of the target that makes it is lost too. Late requests of
+// a priority go last, since otherwise all others would be late too while there are too few
+// slots. The rest go in the order of their objectives.
+func (r Request) precedes(other Request) bool {
+	switch {
+	case r.Nested != other.Nested:
+		return r.Nested
+	case r.Priority != other.Priority:
+		return r.Priority < other.Priority
+	case r.Late != other.Late:
+		return other.Late
+	}
+	return r.Objective.Before(other.Objective)
+}
+
+// makeRoom reports whether there is room in the queue. If the queue is full and the
+// request precedes its last waiter, that waiter is rejected.
 func (g *Gate) makeRoom(r Request) bool {
 	if len(g.queue) < maxQueuePerSlot*g.target.Slots {
 		return true
 	}
 	last := g.queue[len(g.queue)-1]
-	if last.request.Priority <= r.Priority {
+	if !r.precedes(last.request) {
 		return false
 	}
 	g.queue = g.queue[:len(g.queue)-1]
@@ -36,10 +53,10 @@
 	return true
 }
 
-// insert queues a waiter behind those of the same or a higher priority.
+// insert queues a waiter before those that its request precedes.
 func (g *Gate) insert(w *waiter) {
 	i := len(g.queue)
-	for i > 0 && g.queue[i-1].request.Priority > w.request.Priority {
+	for i > 0 && w.request.precedes(g.queue[i-1].request) {
 		i--
 	}
 	g.queue = append(g.queue, nil)
@@ -53,7 +70,7 @@
 	ahead := 0
 	total := g.meanServiceTime(r.Rule)
 	for _, w := range g.queue {
-		if w.request.Priority <= r.Priority {
+		if !r.precedes(w.request) {
 			ahead++
 			total += g.meanServiceTime(w.request.Rule)
 		}
@@ -77,6 +94,8 @@
 			w.result <- ErrQueueTimeout
 		case err != nil:
 			w.result <- err
+		case w.request.Late && now.Sub(w.since) > w.request.MaxWait:
+			w.result <- ErrQueueTimeout // others have overtaken it
 		case g.canAdmitNow(now):
 			g.admit(now)
 			w.result <- nil
@@ -105,6 +124,9 @@
 	for _, w := range g.queue {
 		minTimeLeft := time.Duration(minServiceFraction * float64(g.meanServiceTime(w.request.Rule)))
 		next = min(next, w.request.Deadline.Sub(now)-minTimeLeft+time.Millisecond)
+		if w.request.Late {
+			next = min(next, w.since.Add(w.request.MaxWait).Sub(now)+time.Millisecond)
+		}
 	}
 	if g.timer != nil {
 		g.timer.Stop()
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -27,6 +27,10 @@
 	Kind matcher.Kind
 	// Priority 0 is the highest.
 	Priority int
+	// Nested means that a target makes the request while it runs another one.
+	Nested bool
+	// Late means that the client has waited for longer than its objective already.
+	Late bool
 	// Caller is the service on the VM that the request comes from.
 	Caller string
 	// Customer is the name of the customer whose key the client has presented, or empty.
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -18,6 +18,8 @@
 	idHeader             = "Coltsfoot-Id"
 	kindHeader           = "Coltsfoot-Kind"
 	priorityHeader       = "Coltsfoot-Rank"
+	nestedHeader         = "Coltsfoot-Nested"
+	lateHeader           = "Coltsfoot-Late"
 	callerHeader         = "Coltsfoot-Caller"
 	customerHeader       = "Coltsfoot-Customer"
 	queueTimeoutHeader   = "Coltsfoot-Patience"
@@ -78,6 +80,12 @@
 	h.Set(idHeader, a.ID)
 	h.Set(kindHeader, strconv.Itoa(int(a.Kind)))
 	h.Set(priorityHeader, strconv.Itoa(a.Priority))
+	if a.Nested {
+		h.Set(nestedHeader, strconv.FormatBool(a.Nested))
+	}
+	if a.Late {
+		h.Set(lateHeader, strconv.FormatBool(a.Late))
+	}
 	h.Set(callerHeader, a.Caller)
 	if a.Customer != "" {
 		h.Set(customerHeader, a.Customer)
@@ -101,6 +109,8 @@
 		Rule:      h.Get(forwarder.RouteHeader),
 		Kind:      matcher.Kind(intHeader(h, kindHeader)),
 		Priority:  intHeader(h, priorityHeader),
+		Nested:    h.Get(nestedHeader) == strconv.FormatBool(true),
+		Late:      h.Get(lateHeader) == strconv.FormatBool(true),
 		Caller:    h.Get(callerHeader),
 		Customer:  h.Get(customerHeader),
 		Deadline:  time.Now().Add(durationHeader(h, remainingHeader)),
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -127,6 +127,8 @@
 		Instance:  a.Instance,
 		Rule:      a.Rule,
 		Priority:  a.Priority,
+		Nested:    a.Nested,
+		Late:      a.Late,
 		Deadline:  a.Deadline,
 		Objective: a.Objective,
 		MaxWait:   a.MaxWait,
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -25,6 +25,12 @@
 	uri      string
 	deadline time.Time
 	canary   bool
+	// nested means that the local target makes the request while it runs another one.
+	nested bool
+	// late means that the client has waited for longer than its objective already.
+	late bool
+	// rejections counts the rejections by daemons whose targets have no free slot.
+	rejections int
 	// excluded holds the instances that must not get the request again, and busy
 	// those that had no free slot for it.
 	excluded, busy map[string]bool
@@ -92,11 +98,15 @@
 }
 
 func (d *Dispatcher) newAttempt(c *call, t chooser.Choice) *carrier.Attempt {
+	r := c.request
+	objective := r.Began.Add(c.rule.Objective)
 	queueTimeout := t.QueueTimeout
-	if c.mayQueue {
+	switch {
+	case c.limitsRejections(): // queues longer at the last target, since no other is asked
+		queueTimeout = max(queueTimeout, d.usefulWait(c, objective)*time.Duration(1+c.rejections)/maxRejections)
+	case c.mayQueue:
 		queueTimeout = time.Until(c.deadline)
 	}
-	r := c.request
 	var baseline time.Duration
 	if c.canary {
 		baseline = d.Chooser.ServiceTimeAt(c.rule.Name, d.Pool(c.service).Targets)
@@ -109,9 +119,11 @@
 		Rule:      c.rule.Name,
 		Kind:      c.rule.Kind,
 		Priority:  c.rule.Priority,
+		Nested:    c.nested,
+		Late:      c.late,
 		Caller:    d.Caller,
 		Deadline:  c.deadline,
-		Objective: r.Began.Add(c.rule.Objective),
+		Objective: objective,
 		MaxWait:   queueTimeout,
 		Baseline:  baseline,
 		MayGiveUp: d.mayGiveUp(c),
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+	"github.com/coltsfootlane/coltsfootlane/internal/throttler"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
@@ -43,6 +44,9 @@
 	ID string
 	// TimeLeft is how long the client waits for a response, or 0 if it is not stated.
 	TimeLeft time.Duration
+	// Parent is the ID of the request during which a target may have sent this one, or
+	// empty.
+	Parent string
 }
 
 // Pool holds the targets that a service's requests may go to.
@@ -72,7 +76,10 @@
 	Deliver     carrier.Deliver
 	Chooser     *chooser.Chooser
 	RetryBudget *RetryBudget
-	Clock       timekeeper.Clock
+	Throttler   *throttler.Throttler
+	// IsRunning reports whether the local target runs a request.
+	IsRunning func(id string) bool
+	Clock     timekeeper.Clock
 	// ServesUntil returns the time at which the process ends, or the zero time if that is
 	// not known. Requests with a later deadline are rejected.
 	ServesUntil func() time.Time
@@ -110,6 +117,7 @@
 	errExpired    = classifier.NewFailure(classifier.NotRun, "time ran out before it was sent", nil)
 	errStopping   = classifier.NewFailure(classifier.NotRun, "daemon stops before the request may end", nil)
 	errBadTarget  = classifier.NewFailure(classifier.NotRun, "request target that can't be passed on", nil)
+	errThrottled  = classifier.NewFailure(classifier.NotRun, "too many requests for the free slots", nil)
 	errBadHeaders = classifier.NewFailure(classifier.NotRun, "bad request headers", nil)
 )
 
@@ -135,6 +143,7 @@
 			Body:   targetResponse.Body,
 		}
 	default:
+		c.retryAfter = d.retryAfter(c)
 		resp = c.errorResponse(err, d.Clock.Now())
 	}
 	d.reportResult(c, resp.Status, err)
@@ -190,9 +199,16 @@
 	}
 	c.service = d.chooseService(rule)
 	d.RetryBudget.Deposit(c.service)
+	c.nested = c.client.Parent != "" && d.IsRunning(c.client.Parent)
+	c.late = c.limitsRejections() && d.Throttler.IsLate(c.kind(), c.client.TimeLeft, rule.Objective)
+	if !d.mayAsk(c) {
+		return nil, errThrottled
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	return d.sendWithRetries(ctx, c)
+	targetResponse, err := d.sendWithRetries(ctx, c)
+	d.recordRoom(c, err)
+	return targetResponse, err
 }
 
 // chooseService returns the service that the rule's traffic split selects.
@@ -250,7 +266,7 @@
 		}
 		if err != nil {
 			c.recordError(err)
-			if ctx.Err() != nil || !d.shouldRetryError(c, err) {
+			if ctx.Err() != nil || !d.shouldRetryError(c, err) || c.isRejectedOften(err) {
 				return nil, c.reportedErr
 			}
 		}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+	"github.com/coltsfootlane/coltsfootlane/internal/throttler"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
@@ -98,6 +99,8 @@
 		},
 		Chooser:     chooser.New(timekeeper.System{}),
 		RetryBudget: budget,
+		Throttler:   &throttler.Throttler{Clock: timekeeper.System{}},
+		IsRunning:   func(string) bool { return false },
 		Clock:       timekeeper.System{},
 		ServesUntil: func() time.Time { return time.Time{} },
 		OnResult:    func(result dispatcher.Result) { r.lastResult = result },
--- /dev/null
+++ b/internal/dispatcher/room.go
@@ -0,0 +1,87 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
+	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/throttler"
+	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
+)
+
+const (
+	// patientFactor is the least ratio of a rule's timeout to its objective with which its
+	// clients have the time to come back after a rejection.
+	patientFactor = 2.75
+	// maxRejections is the number of rejections for lack of a free slot after which a
+	// patient request is rejected. The targets of a service are about equally busy then,
+	// and each further attempt costs processor time at two daemons.
+	maxRejections = 2
+	// serviceMargin is the multiple of the mean service time within which most requests
+	// are answered.
+	serviceMargin = 1.5
+)
+
+// isPatient reports whether a rule's clients have the time to come back after a rejection.
+func isPatient(r *matcher.Rule) bool {
+	return float64(r.Timeout) >= patientFactor*float64(r.Objective)
+}
+
+// limitsRejections reports whether the request is rejected after maxRejections. A nested
+// request is not, since the work of the target that makes it would be lost.
+func (c *call) limitsRejections() bool { return isPatient(c.rule) && !c.nested }
+
+// isRejectedOften counts a rejection for lack of a free slot and reports whether the request
+// must not be sent again.
+func (c *call) isRejectedOften(err error) bool {
+	f := carrier.NewFailure(err)
+	if f.Verdict != classifier.NotRun || !f.Reported || f.Arrived || f.Load.Slots == 0 || f.Load.Running < f.Load.Slots {
+		return false
+	}
+	c.rejections++
+	return c.limitsRejections() && c.rejections >= maxRejections
+}
+
+// usefulWait returns how long a request may queue and still be answered by its objective,
+// or, if that is longer, half a service time.
+func (d *Dispatcher) usefulWait(c *call, objective time.Time) time.Duration {
+	serviceTime := d.Chooser.MeanServiceTime(c.rule.Name)
+	return max(serviceTime/2, objective.Sub(d.Clock.Now())-time.Duration(serviceMargin*float64(serviceTime)))
+}
+
+func (c *call) kind() throttler.Kind {
+	return throttler.Kind{
+		Service: c.service,
+		Rule:    c.rule.Name,
+		Late:    c.late,
+	}
+}
+
+// mayAsk reports whether a request may ask for a slot. A request whose client has less time
+// left than the rule allows always may, since it hardly comes back.
+func (d *Dispatcher) mayAsk(c *call) bool {
+	if !c.limitsRejections() || c.client.TimeLeft < c.rule.Timeout {
+		return true
+	}
+	return d.Throttler.Admit(c.kind())
+}
+
+// recordRoom records whether a patient request got a slot.
+func (d *Dispatcher) recordRoom(c *call, err error) {
+	switch {
+	case !c.limitsRejections():
+	case c.deliveries > 0:
+		d.Throttler.Record(c.kind(), true)
+	case err != nil && c.rejections > 0:
+		d.Throttler.Record(c.kind(), false)
+	}
+}
+
+// retryAfter returns the retry delay to report.
+func (d *Dispatcher) retryAfter(c *call) time.Duration {
+	if c.rule == nil || !c.limitsRejections() || c.deliveries > 0 {
+		return c.retryAfter
+	}
+	left := c.client.TimeLeft - d.Clock.Now().Sub(c.request.Began)
+	return max(c.retryAfter, d.Throttler.RetryAfter(c.kind(), left))
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -35,6 +35,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/shifter"
 	"github.com/coltsfootlane/coltsfootlane/internal/spreader"
 	"github.com/coltsfootlane/coltsfootlane/internal/storer"
+	"github.com/coltsfootlane/coltsfootlane/internal/throttler"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/internal/tracker"
 )
@@ -125,6 +126,10 @@
 	receiver         *receiver.Server
 	judge            shifter.Judge
 	retryBudget      *dispatcher.RetryBudget
+	// throttler rejects requests for which there is no room, and running holds those
+	// that the local target runs.
+	throttler *throttler.Throttler
+	running   runningRequests
 	// quarantine identifies the requests that crash targets.
 	quarantine *quarantiner.Quarantiner
 
@@ -298,6 +303,7 @@
 	}
 	d.retryBudget.SetLimits(s.Sidecar.RetryRatio, s.Sidecar.RetrySlack)
 	d.quarantine = quarantiner.New(o.Clock)
+	d.throttler = &throttler.Throttler{Clock: o.Clock}
 	d.gate = &admitter.Gate{
 		Clock:       o.Clock,
 		Closed:      d.admissionClosed,
@@ -356,6 +362,8 @@
 		Deliver:     deliver.Deliver,
 		Chooser:     d.chooser,
 		RetryBudget: d.retryBudget,
+		Throttler:   d.throttler,
+		IsRunning:   d.running.has,
 		Clock:       d.clock,
 		ServesUntil: d.servesUntil,
 		OnResult:    d.observeRequest,
@@ -385,7 +393,7 @@
 		Memory:        d.newMemory(responseMemoryShare),
 		Codec:         d.platform.Codec,
 		Clock:         d.clock,
-		BeforeForward: d.checkQuarantine,
+		BeforeForward: d.beforeForward,
 		OnResult:      d.observeAttempt,
 		OnRejected:    d.observeRejectedAttempt,
 		OnLimit:       d.observeLimit,
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -258,6 +258,7 @@
 		v.services[name] = d.serviceView(name, v, serving[name], members)
 	}
 	old := d.view.Swap(v)
+	d.gate.SetColdRate(v.plan.Services[d.sidecar.Service].ColdRate)
 	if old == nil || v.evacuated[d.settings.DC] != old.evacuated[d.settings.DC] || v.versionsChanged(old, d.sidecar.Service) {
 		d.gate.CheckQueue()
 	}
