--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -105,6 +105,15 @@
 	Instance string
 	Attempts int
 	Duration time.Duration
+	// Nested means that the local target made the request while it ran another one, and
+	// Late that the client had waited for longer than its objective before.
+	Nested, Late bool
+	// Rejections counts the rejections for lack of a free slot. Throttled means that the
+	// request was rejected without an attempt.
+	Rejections int
+	Throttled  bool
+	// RetryAfter is the retry delay that was reported, if no target has answered.
+	RetryAfter time.Duration
 	// Err is the reason why no target has answered, or nil.
 	Err error
 }
@@ -152,14 +161,19 @@
 
 func (d *Dispatcher) reportResult(c *call, status int, err error) {
 	result := Result{
-		ID:       c.client.ID,
-		Service:  c.service,
-		Status:   status,
-		Daemon:   c.lastTarget.Daemon,
-		Instance: c.lastTarget.Instance,
-		Attempts: c.attempts,
-		Duration: d.Clock.Now().Sub(c.request.Began),
-		Err:      err,
+		ID:         c.client.ID,
+		Service:    c.service,
+		Status:     status,
+		Daemon:     c.lastTarget.Daemon,
+		Instance:   c.lastTarget.Instance,
+		Attempts:   c.attempts,
+		Nested:     c.nested,
+		Late:       c.late,
+		Rejections: c.rejections,
+		Throttled:  err == errThrottled,
+		RetryAfter: c.retryAfter,
+		Duration:   d.Clock.Now().Sub(c.request.Began),
+		Err:        err,
 	}
 	if c.plan != nil {
 		result.Plan = c.plan.Version
--- a/internal/dispatcher/overload_test.go
+++ b/internal/dispatcher/overload_test.go
@@ -83,9 +83,9 @@
 	running map[string]bool
 }
 
-// newOverloadMesh returns a mesh. The timeouts of its rules are a multiple of their
-// objectives.
-func newOverloadMesh(timeoutFactor float64) *overloadMesh {
+// newOverloadMesh returns a mesh with some targets of the registry. The timeouts of its
+// rules are a multiple of their objectives.
+func newOverloadMesh(timeoutFactor float64, registry int) *overloadMesh {
 	newRule := func(name, service string, kind matcher.Kind, priority int, objective time.Duration) matcher.Rule {
 		return matcher.Rule{
 			Name:        name,
@@ -112,7 +112,7 @@
 	for i := range meshEntries {
 		m.entries = append(m.entries, m.newEntry(i))
 	}
-	for i := range meshClaims + meshRegistry {
+	for i := range meshClaims + registry {
 		service := "claims"
 		if i >= meshClaims {
 			service = "registry"
@@ -321,7 +321,7 @@
 	for _, load := range []float64{0.7, 1, 1.4, 2} {
 		results := map[float64]map[string]meshResult{}
 		for _, factor := range []float64{3, 2.7} {
-			synctest.Test(t, func(*testing.T) { results[factor] = newOverloadMesh(factor).play(load) })
+			synctest.Test(t, func(*testing.T) { results[factor] = newOverloadMesh(factor, meshRegistry).play(load) })
 			for rule, r := range results[factor] {
 				t.Logf("load %.1f timeout %.1f %-6s %+v", load, factor, rule, r)
 			}
@@ -348,3 +348,18 @@
 		t.Errorf("%d requests by their objective at twice the load, want %.2f of %d", atTwice, goodput, best)
 	}
 }
+
+// TestOverloadedCallee plays a service that the targets of another one call and that has lost
+// half of its targets. It checks that few requests fail since a call of their target has
+// failed: work that is done in vain.
+func TestOverloadedCallee(t *testing.T) {
+	if testing.Short() {
+		t.Skip("plays thousands of requests")
+	}
+	var results map[string]meshResult
+	synctest.Test(t, func(*testing.T) { results = newOverloadMesh(3, meshRegistry/2).play(1) })
+	t.Logf("%+v", results)
+	if c := results["claim"]; c.failed > c.asked/20 {
+		t.Errorf("%d of %d failed, want a twentieth at most", c.failed, c.asked)
+	}
+}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -5,6 +5,7 @@
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
+	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
 )
 
 // runningRequests holds the IDs of the requests that the local target runs. It is safe
@@ -48,3 +49,17 @@
 	}
 	return connected, done, nil
 }
+
+// countRejection counts a request that was rejected for lack of a free slot, by cause.
+func (d *Daemon) countRejection(r dispatcher.Result) {
+	switch {
+	case r.Throttled:
+		d.incrementCounter("request.throttled")
+	case r.Rejections > 0 && r.Nested:
+		d.incrementCounter("request.busynested")
+	case r.Rejections > 0 && r.Late:
+		d.incrementCounter("request.busylate")
+	case r.Rejections > 0:
+		d.incrementCounter("request.busy")
+	}
+}
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -62,8 +62,10 @@
 		return
 	}
 	d.incrementCounter("request.unanswered")
+	d.countRejection(r)
 	d.log.Warn("request not answered by a target", "request", r.ID, "rule", r.Rule, "plan", r.Plan, "status", r.Status,
-		"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "took", r.Duration, "err", r.Err)
+		"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "busy", r.Rejections, "nested", r.Nested, "late", r.Late,
+		"again", r.RetryAfter, "took", r.Duration, "err", r.Err)
 }
 
 // observeRejectedRequest counts and logs a request that could not be read, or that was
