dispatcher, carrier: queue longer only under load, give up silent daemons by the objective

A request queued at its first target for half of the useful wait at any load.

An attempt to a daemon that does not respond was given up after 0.4 of the time left, 600 ms of an objective of 500 ms. Now after 0.6 of the time until the objective if that is less; the same where the timeout is 1.5 objectives.

--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -24,11 +24,13 @@
 	// target sends 102 Processing at once, and it rejects others at once.
 	silenceTimeout = 150 * time.Millisecond
 	// An attempt without any response may be cancelled after giveUpFraction of its
-	// remaining time, but not before minGiveUp, because a daemon on a slow machine
-	// or link may need a few hundred milliseconds. A non-idempotent attempt is not
-	// cancelled once part of its body may have been sent.
-	minGiveUp      = 200 * time.Millisecond
-	giveUpFraction = 0.4
+	// remaining time, or objectiveFraction of that until its objective, but not before
+	// minGiveUp, because a daemon on a slow machine or link may need a few hundred
+	// milliseconds. A non-idempotent attempt is not cancelled once part of its body may
+	// have been sent.
+	minGiveUp         = 200 * time.Millisecond
+	giveUpFraction    = 0.4
+	objectiveFraction = 0.6
 	// expectBytes is the size from which a body is sent only after 100 Continue.
 	expectBytes = 8 << 10
 	// maxInterim bounds the informational responses to an attempt. A daemon sends at
@@ -74,7 +76,7 @@
 		c.OnSilent(address)
 	})
 	defer silenceTimer.Stop()
-	giveUpTimer := time.AfterFunc(max(minGiveUp, time.Duration(giveUpFraction*float64(time.Until(a.Deadline)))), func() {
+	giveUpTimer := time.AfterFunc(a.giveUpAfter(), func() {
 		if !responded.Load() && c.mayGiveUp(a, body) {
 			giveUp(errSilent)
 		}
@@ -117,6 +119,15 @@
 	return targetResponse, nil
 }
 
+// giveUpAfter returns the time without any response after which an attempt may be cancelled.
+func (a *Attempt) giveUpAfter() time.Duration {
+	limit := giveUpFraction * float64(time.Until(a.Deadline))
+	if useful := time.Until(a.Objective); useful > 0 {
+		limit = min(limit, objectiveFraction*float64(useful))
+	}
+	return max(minGiveUp, time.Duration(limit))
+}
+
 // mayGiveUp reports whether an attempt without any response may be cancelled.
 func (c *Client) mayGiveUp(a *Attempt, body *forwarder.Body) bool {
 	started := body.Started()
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -102,8 +102,8 @@
 	objective := r.Began.Add(c.rule.Objective)
 	queueTimeout := t.QueueTimeout
 	switch {
-	case c.limitsRejections(): // queues longer at the last target, since no other is asked
-		queueTimeout = max(queueTimeout, d.usefulWait(c, objective)*time.Duration(1+c.rejections)/maxRejections)
+	case c.limitsRejections():
+		queueTimeout = max(queueTimeout, d.worthwhileWait(c, objective))
 	case c.mayQueue:
 		queueTimeout = time.Until(c.deadline)
 	}
--- a/internal/dispatcher/room.go
+++ b/internal/dispatcher/room.go
@@ -49,6 +49,16 @@
 	return max(serviceTime/2, objective.Sub(d.Clock.Now())-time.Duration(serviceMargin*float64(serviceTime)))
 }
 
+// worthwhileWait returns how long a request may queue at the next target: at the last one for
+// as long as is useful, before that the longer the more requests find no free slot anywhere.
+func (d *Dispatcher) worthwhileWait(c *call, objective time.Time) time.Duration {
+	wait := d.usefulWait(c, objective)
+	if c.rejections == maxRejections-1 {
+		return wait
+	}
+	return time.Duration(min(0.5, 2*d.Throttler.Rejected(c.kind())) * float64(wait))
+}
+
 func (c *call) kind() throttler.Kind {
 	return throttler.Kind{
 		Service: c.service,
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -86,6 +86,15 @@
 	t.kinds[k] = c
 }
 
+// Rejected returns the share of the requests of the last window that asked for a slot and
+// got none, from 0 to 1.
+func (t *Throttler) Rejected(k Kind) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.counts(k)
+	return c.rejected / (c.admitted + c.rejected + minCount)
+}
+
 // RetryAfter returns how long a rejected client should wait that has some time left. It
 // spreads those that were rejected in the last window over the time in which the slots
 // take as many. When they come back they are late.
