Merge overload: who gets room, and what is refused

Within a priority, requests of customers go by their turns, others by whether they are late and by their objectives; nested requests go first.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -71,7 +71,7 @@
 	// WarmupLeft is the time until the target is warm.
 	WarmupLeft time.Duration
 	// ColdRate is the number of requests per second that the target can take while
-	// it is cold.
+	// it is cold, or 0 if operators declare no bound.
 	ColdRate float64
 }
 
@@ -85,6 +85,10 @@
 	Customer string
 	// Priority 0 is the highest.
 	Priority int
+	// Nested means that a target makes the request while it runs another one.
+	Nested bool
+	// Late means that the client has waited for longer than its objective already.
+	Late bool
 	// Deadline is the time after which the client no longer waits for the response.
 	Deadline time.Time
 	// Objective is the time by which the response should be sent.
@@ -148,6 +152,19 @@
 	g.serveQueue()
 }
 
+// SetColdRate replaces the ColdRate of the target.
+func (g *Gate) SetColdRate(perSecond float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.target == nil || g.target.ColdRate == perSecond {
+		return
+	}
+	t := *g.target
+	t.ColdRate = perSecond
+	g.target = &t
+	g.serveQueue()
+}
+
 // SuspectCold treats the target as cold until its next announcement. It is called when
 // the target may have restarted: after a failed connection, missed announcements,
 // or a time in which its zone was evacuated.
@@ -217,6 +234,7 @@
 	w := &waiter{
 		request: r,
 		turn:    g.shares.Enter(r.Customer, g.cost(r)),
+		since:   now,
 		result:  make(chan error, 1),
 	}
 	g.insert(w)
@@ -302,12 +320,15 @@
 func (g *Gate) cold(now time.Time) bool { return g.coldSuspected || now.Before(g.coldUntil) }
 
 // coldRate returns the number of requests per second that the target can take
-// while cold.
+// while cold, or 0 if there is no bound.
 func (g *Gate) coldRate() float64 {
-	if g.target == nil || g.target.ColdRate < 1 {
+	switch {
+	case g.target == nil:
 		return 1
+	case g.target.ColdRate == 0:
+		return 0
 	}
-	return g.target.ColdRate
+	return max(1, g.target.ColdRate)
 }
 
 func (g *Gate) canAdmitNow(now time.Time) bool {
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -10,19 +10,13 @@
 // the rejection.
 type waiter struct {
 	request Request
-	// turn is the request's place among those of its priority.
+	// turn is the request's place among those of its priority, and since the time from which
+	// it waits.
 	turn   sharer.Turn
+	since  time.Time
 	result chan error
 }
 
-// precedes reports whether a waiter is served before a request of a priority with a turn.
-func (w *waiter) precedes(priority int, turn float64) bool {
-	if w.request.Priority != priority {
-		return w.request.Priority < priority
-	}
-	return w.turn.At <= turn
-}
-
 // cost returns the time that a request is expected to take, in seconds.
 func (g *Gate) cost(r Request) float64 { return g.meanServiceTime(r.Rule).Seconds() }
 
@@ -36,14 +30,33 @@
 	return now.Sub(g.emptyAt) > maxBurst
 }
 
-// makeRoom reports whether there is room in the queue. If the queue is full and
-// its last waiter would be served after the request, that waiter is rejected.
+// precedes reports whether a request goes before another one in the queue. Nested requests
+// go first: if one fails, the work of the target that makes it is lost too. Late requests of
+// a priority go last, since otherwise all others would be late too while there are too few
+// slots. The rest go in the order of their objectives, or of their turns if one is of a
+// customer.
+func (r Request) precedes(other Request, turn, otherTurn float64) bool {
+	switch {
+	case r.Nested != other.Nested:
+		return r.Nested
+	case r.Priority != other.Priority:
+		return r.Priority < other.Priority
+	case r.Customer != "" || other.Customer != "":
+		return turn < otherTurn
+	case r.Late != other.Late:
+		return other.Late
+	}
+	return r.Objective.Before(other.Objective)
+}
+
+// makeRoom reports whether there is room in the queue. If the queue is full and the
+// request precedes its last waiter, that waiter is rejected.
 func (g *Gate) makeRoom(r Request) bool {
 	if len(g.queue) < maxQueuePerSlot*g.target.Slots {
 		return true
 	}
 	last := g.queue[len(g.queue)-1]
-	if last.precedes(r.Priority, g.shares.Next(r.Customer)) {
+	if !r.precedes(last.request, g.shares.Next(r.Customer), last.turn.At) {
 		return false
 	}
 	g.queue = g.queue[:len(g.queue)-1]
@@ -52,10 +65,10 @@
 	return true
 }
 
-// insert queues a waiter behind those that are served before it.
+// insert queues a waiter before those that its request precedes.
 func (g *Gate) insert(w *waiter) {
 	i := len(g.queue)
-	for i > 0 && !g.queue[i-1].precedes(w.request.Priority, w.turn.At) {
+	for i > 0 && w.request.precedes(g.queue[i-1].request, w.turn.At, g.queue[i-1].turn.At) {
 		i--
 	}
 	g.queue = append(g.queue, nil)
@@ -69,7 +82,7 @@
 	ahead, turn := 0, g.shares.Next(r.Customer)
 	total := g.meanServiceTime(r.Rule)
 	for _, w := range g.queue {
-		if w.precedes(r.Priority, turn) {
+		if !r.precedes(w.request, turn, w.turn.At) {
 			ahead++
 			total += g.meanServiceTime(w.request.Rule)
 		}
@@ -95,6 +108,9 @@
 		case err != nil:
 			g.shares.Leave(w.turn)
 			w.result <- err
+		case w.request.Late && now.Sub(w.since) > w.request.MaxWait:
+			g.shares.Leave(w.turn)
+			w.result <- ErrQueueTimeout // others have overtaken it
 		case g.canAdmitNow(now):
 			g.shares.Serve(w.turn)
 			g.admit(now)
@@ -124,6 +140,9 @@
 	for _, w := range g.queue {
 		minTimeLeft := time.Duration(minServiceFraction * float64(g.meanServiceTime(w.request.Rule)))
 		next = min(next, w.request.Deadline.Sub(now)-minTimeLeft+time.Millisecond)
+		if w.request.Late {
+			next = min(next, w.since.Add(w.request.MaxWait).Sub(now)+time.Millisecond)
+		}
 	}
 	if g.timer != nil {
 		g.timer.Stop()
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -128,6 +128,8 @@
 		Rule:      a.Rule,
 		Customer:  a.Identity.Customer,
 		Priority:  a.Priority,
+		Nested:    a.Nested,
+		Late:      a.Late,
 		Deadline:  a.Deadline,
 		Objective: a.Objective,
 		MaxWait:   a.MaxWait,
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -34,6 +34,12 @@
 	priority   int
 	deadline   time.Time
 	canary     bool
+	// nested means that the local target makes the request while it runs another one.
+	nested bool
+	// late means that the client has waited for longer than its objective already.
+	late bool
+	// rejections counts the rejections by daemons whose targets have no free slot.
+	rejections int
 	// excluded holds the instances that must not get the request again, and busy
 	// those that had no free slot for it.
 	excluded, busy map[string]bool
@@ -101,11 +107,15 @@
 }
 
 func (d *Dispatcher) newAttempt(c *call, t chooser.Choice) *carrier.Attempt {
+	r := c.request
+	objective := r.Began.Add(c.rule.Objective)
 	queueTimeout := t.QueueTimeout
-	if c.mayQueue {
+	switch {
+	case c.limitsRejections():
+		queueTimeout = max(queueTimeout, d.worthwhileWait(c, objective))
+	case c.mayQueue:
 		queueTimeout = time.Until(c.deadline)
 	}
-	r := c.request
 	var baseline time.Duration
 	if c.canary {
 		baseline = d.Chooser.ServiceTimeAt(c.rule.Name, d.Pool(c.service).Targets)
@@ -118,11 +128,13 @@
 		Rule:       c.rule.Name,
 		Kind:       c.rule.Kind,
 		Priority:   c.priority,
+		Nested:     c.nested,
+		Late:       c.late,
 		Caller:     d.Caller,
 		Identity:   c.identity,
 		Identified: c.identified,
 		Deadline:   c.deadline,
-		Objective:  r.Began.Add(c.rule.Objective),
+		Objective:  objective,
 		MaxWait:    queueTimeout,
 		Baseline:   baseline,
 		MayGiveUp:  d.mayGiveUp(c),
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+	"github.com/coltsfootlane/coltsfootlane/internal/throttler"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
@@ -46,6 +47,9 @@
 	TimeLeft time.Duration
 	// Key is the key that the client presents, or empty.
 	Key string
+	// Parent is the ID of the request during which a target may have sent this one, or
+	// empty.
+	Parent string
 }
 
 // Pool holds the targets that a service's requests may go to.
@@ -80,7 +84,10 @@
 	Deliver     carrier.Deliver
 	Chooser     *chooser.Chooser
 	RetryBudget *RetryBudget
-	Clock       timekeeper.Clock
+	Throttler   *throttler.Throttler
+	// IsRunning reports whether the local target runs a request.
+	IsRunning func(id string) bool
+	Clock     timekeeper.Clock
 	// ServesUntil returns the time at which the process ends, or the zero time if that is
 	// not known. Requests with a later deadline are rejected.
 	ServesUntil func() time.Time
@@ -108,6 +115,15 @@
 	Instance string
 	Attempts int
 	Duration time.Duration
+	// Nested means that the local target made the request while it ran another one, and
+	// Late that the client had waited for longer than its objective before.
+	Nested, Late bool
+	// Rejections counts the rejections for lack of a free slot. Throttled means that the
+	// request was rejected without an attempt.
+	Rejections int
+	Throttled  bool
+	// RetryAfter is the retry delay that was reported, if no target has answered.
+	RetryAfter time.Duration
 	// Err is the reason why no target has answered, or nil.
 	Err error
 }
@@ -120,6 +136,7 @@
 	errExpired    = classifier.NewFailure(classifier.NotRun, "time ran out before it was sent", nil)
 	errStopping   = classifier.NewFailure(classifier.NotRun, "daemon stops before the request may end", nil)
 	errBadTarget  = classifier.NewFailure(classifier.NotRun, "request target that can't be passed on", nil)
+	errThrottled  = classifier.NewFailure(classifier.NotRun, "too many requests for the free slots", nil)
 	errBadHeaders = classifier.NewFailure(classifier.NotRun, "bad request headers", nil)
 )
 
@@ -146,6 +163,7 @@
 			Body:   targetResponse.Body,
 		}
 	default:
+		c.retryAfter = d.retryAfter(c)
 		resp = c.errorResponse(err, d.Clock.Now())
 	}
 	d.reportResult(c, resp.Status, err)
@@ -154,15 +172,20 @@
 
 func (d *Dispatcher) reportResult(c *call, status int, err error) {
 	result := Result{
-		ID:       c.client.ID,
-		Service:  c.service,
-		Status:   status,
-		Daemon:   c.lastTarget.Daemon,
-		Instance: c.lastTarget.Instance,
-		Customer: c.identity.Customer,
-		Attempts: c.attempts,
-		Duration: d.Clock.Now().Sub(c.request.Began),
-		Err:      err,
+		ID:         c.client.ID,
+		Service:    c.service,
+		Status:     status,
+		Daemon:     c.lastTarget.Daemon,
+		Instance:   c.lastTarget.Instance,
+		Customer:   c.identity.Customer,
+		Attempts:   c.attempts,
+		Nested:     c.nested,
+		Late:       c.late,
+		Rejections: c.rejections,
+		Throttled:  err == errThrottled,
+		RetryAfter: c.retryAfter,
+		Duration:   d.Clock.Now().Sub(c.request.Began),
+		Err:        err,
 	}
 	if c.plan != nil {
 		result.Plan = c.plan.Version
@@ -205,9 +228,16 @@
 	}
 	c.service = d.chooseService(rule)
 	d.RetryBudget.Deposit(c.service)
+	c.nested = c.client.Parent != "" && d.IsRunning(c.client.Parent)
+	c.late = c.limitsRejections() && d.Throttler.IsLate(c.kind(), c.client.TimeLeft, rule.Objective)
+	if !d.mayAsk(c) {
+		return nil, errThrottled
+	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	return d.sendWithRetries(ctx, c)
+	targetResponse, err := d.sendWithRetries(ctx, c)
+	d.recordRoom(c, err)
+	return targetResponse, err
 }
 
 // chooseService returns the service that the rule's traffic split selects.
@@ -270,7 +300,7 @@
 		}
 		if err != nil {
 			c.recordError(err)
-			if ctx.Err() != nil || !d.shouldRetryError(c, err) {
+			if ctx.Err() != nil || !d.shouldRetryError(c, err) || c.isRejectedOften(err) {
 				return nil, c.reportedErr
 			}
 		}
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -166,7 +166,7 @@
 // beforeForward is called before an attempt is forwarded to the target. It counts the attempt if
 // it belongs to a customer, until the target refuses it.
 func (d *Daemon) beforeForward(a *carrier.Attempt) (connected func(), done func(r deliverer.Result, connectionLost bool), err error) {
-	checkedConnected, checkedDone, err := d.checkBeforeForward(a)
+	checkedConnected, checkedDone, err := d.trackRunning(a)
 	u := d.usage
 	if err != nil || u == nil || a.Identity.Customer == "" {
 		return checkedConnected, checkedDone, err
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -65,8 +65,10 @@
 	}
 	d.incrementCounter("request.unanswered")
 	d.countKeyRefusal(r.Err)
+	d.countRejection(r)
 	d.log.Warn("request not answered by a target", withCustomer(r.Customer, "request", r.ID, "rule", r.Rule, "plan", r.Plan, "status", r.Status,
-		"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "took", r.Duration, "err", r.Err)...)
+		"target", r.Instance, "daemon", r.Daemon, "sends", r.Attempts, "busy", r.Rejections, "nested", r.Nested, "late", r.Late,
+		"again", r.RetryAfter, "took", r.Duration, "err", r.Err)...)
 }
 
 // errMalformed replaces errors whose text contains a part of a request.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,6 +36,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/shifter"
 	"github.com/coltsfootlane/coltsfootlane/internal/spreader"
 	"github.com/coltsfootlane/coltsfootlane/internal/storer"
+	"github.com/coltsfootlane/coltsfootlane/internal/throttler"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/internal/tracker"
 )
@@ -133,6 +134,10 @@
 	receiver         *receiver.Server
 	judge            shifter.Judge
 	retryBudget      *dispatcher.RetryBudget
+	// throttler rejects requests for which there is no room, and running holds those
+	// that the local target runs.
+	throttler *throttler.Throttler
+	running   runningRequests
 	// quarantine identifies the requests that crash targets.
 	quarantine *quarantiner.Quarantiner
 	// usage is the daemon's part in the duty to report usage, or nil.
@@ -320,6 +325,7 @@
 			Token:  rand.Uint64(),
 		}
 	}
+	d.throttler = &throttler.Throttler{Clock: o.Clock}
 	d.gate = &admitter.Gate{
 		Clock:       o.Clock,
 		Closed:      d.admissionClosed,
@@ -385,6 +391,8 @@
 		Deliver:            deliver.Deliver,
 		Chooser:            d.chooser,
 		RetryBudget:        d.retryBudget,
+		Throttler:          d.throttler,
+		IsRunning:          d.running.has,
 		Clock:              d.clock,
 		ServesUntil:        d.servesUntil,
 		OnResult:           d.observeRequest,
