--- a/internal/soaker/keys.go
+++ b/internal/soaker/keys.go
@@ -109,6 +109,29 @@
 	}
 }
 
+// cutOff removes a key while one daemon is cut off from the store and no daemon hears from another.
+// Requests with that key are sent meanwhile; checkRemovedKeys reports those that reach a target.
+func (s *soak) cutOff() {
+	serving := s.nodesOf(mainService) // its own target is one that it may choose
+	cut := serving[s.options.Seed%uint64(len(serving))]
+	links := []*Link{cut.links[HopStore]}
+	for _, n := range s.nodes {
+		links = append(links, n.links[HopControl])
+	}
+	for _, l := range links {
+		l.SetFault(Fault{
+			StallToServer:   true,
+			StallFromServer: true,
+		})
+	}
+	s.declareConfig()
+	time.Sleep(revokeWithin + evacuationCheckTime)
+	for _, l := range links {
+		l.SetFault(Fault{})
+	}
+	s.checkRecovery("cut", time.Now().Add(recoveryTimeout))
+}
+
 // checkRemovedKeys records a violation for each request with a removed key that reached a target.
 func (s *soak) checkRemovedKeys() {
 	for _, id := range s.ledger.arrivedIDs(intruderID) {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -212,6 +212,9 @@
 	s.clearFaults()
 	s.checkRecovery("end", time.Now().Add(recoveryTimeout))
 	s.checkRegistrations()
+	if s.options.Keys {
+		s.cutOff()
+	}
 	s.checkRestore()
 	s.checkEvacuation()
 	s.stopAll()
