sidecar: a clock that is right is not moved because the holder's was wrong

Change: offsets are from the monotonic clock, which nothing moves; a correction has the time that most agree on, and has no effect at a clock that agrees.

--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -61,8 +61,10 @@
 	candidates  = 3
 	substitutes = 12
 	vacancyTime = 2 * time.Second
-	// campaignPause is the pause of a daemon that is no candidate and after a failed call.
-	campaignPause = 500 * time.Millisecond
+	// campaignPause is the pause of a daemon that is no candidate and after a failed call. It
+	// doubles with each further one, up to maxCampaignPause.
+	campaignPause    = 500 * time.Millisecond
+	maxCampaignPause = 2 * time.Second
 	// settleTime is the time within which targets refuse what they don't run.
 	settleTime = 400 * time.Millisecond
 	// patienceShare is the share of the time until a report is late for which it waits for the
@@ -198,7 +200,10 @@
 	Fence  uint64 `json:"fence,omitempty"`
 	Window int64  `json:"window,omitempty"`
 	// Correction is the time by which the receiver's clock has to be moved, in milliseconds.
+	// Consensus is the time on which most clocks agree, in Unix milliseconds, by which the
+	// receiver sees whether it still has to.
 	Correction int64 `json:"correction,omitempty"`
+	Consensus  int64 `json:"consensus,omitempty"`
 }
 
 // countsReply is the answer to a countsRequest.
@@ -218,13 +223,9 @@
 	if r.Holding {
 		u.holderSeen = now
 	}
-	correct := r.Correction != 0 && now.Since(u.corrected) >= clockPause
-	if correct {
-		u.corrected = now
-	}
 	u.mu.Unlock()
-	if correct {
-		u.correctClock(time.Duration(r.Correction) * time.Millisecond)
+	if r.Correction != 0 {
+		u.correctClock(time.Duration(r.Correction)*time.Millisecond, time.UnixMilli(r.Consensus))
 	}
 	reply := countsReply{
 		Now:    u.now().UnixMilli(),
@@ -262,8 +263,15 @@
 	return u.told < u.ledger.Sequence() && u.read().Since(u.holderSeen) < 2*collectPeriod
 }
 
-// correctClock moves the clock.
-func (u *usageDuty) correctClock(by time.Duration) {
+// correctClock moves the clock, unless another daemon has just made it do so.
+func (u *usageDuty) correctClock(by time.Duration, consensus time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now, wrong := u.read(), consensus.Sub(u.now())
+	if now.Since(u.corrected) < clockPause || wrong.Abs() <= tallier.MaxClockError || (wrong > 0) != (by > 0) {
+		return
+	}
+	u.corrected = now
 	u.clock.Correct(by)
 	u.daemon.incrementCounter("duty.clock")
 	u.daemon.log.Warn("time of day corrected by that of the other daemons", "by", by)
@@ -338,6 +346,7 @@
 
 // campaign takes the duty when it is vacant, and keeps it, until ctx ends.
 func (u *usageDuty) campaign(ctx context.Context) {
+	pause := campaignPause
 	for ctx.Err() == nil {
 		if t, held := u.elector.Term(); held {
 			u.keep(ctx, t)
@@ -354,9 +363,11 @@
 		}
 		if err != nil {
 			u.daemon.log.Debug("campaign for the duty failed", "err", err)
-			sleep(ctx, campaignPause)
+			sleep(ctx, pause)
+			pause = min(maxCampaignPause, 2*pause)
 			continue
 		}
+		pause = campaignPause
 		if t, held := u.elector.Term(); held {
 			u.learn(t.Record.Fence, t.Record.Window)
 			u.daemon.incrementCounter("duty.terms")
@@ -383,7 +394,7 @@
 
 // collect collects counts while the daemon is the holder or a candidate, until ctx ends.
 func (u *usageDuty) collect(ctx context.Context) {
-	offsets := map[string]time.Duration{}
+	var consensus tallier.Consensus
 	for rounds := 0; ctx.Err() == nil; rounds++ {
 		sleep(ctx, collectPeriod)
 		u.clock.Sample()
@@ -391,20 +402,21 @@
 		_, holding := u.elector.Term()
 		switch {
 		case holding, u.isCandidate() && rounds%int(standbyPeriod/collectPeriod) == 0:
-			offsets = u.collectAll(ctx, holding, tallier.Corrections(offsets))
+			consensus = tallier.Agree(u.collectAll(ctx, holding, consensus))
 		case !u.isCandidate():
 			u.book.Store(tallier.NewBook())
-			clear(offsets)
+			consensus = tallier.Consensus{}
 		}
 	}
 }
 
-// collectAll collects the counts of all daemons once. The parameter corrections holds by how
-// much their clocks have to be moved. It returns how far they are ahead of the own clock.
-func (u *usageDuty) collectAll(ctx context.Context, holding bool, corrections map[string]time.Duration) map[string]time.Duration {
+// collectAll collects the counts of all daemons once, and corrects the clocks that differed from
+// the consensus of the round before. It returns the offsets of the daemons' clocks from the own
+// monotonic one.
+func (u *usageDuty) collectAll(ctx context.Context, holding bool, consensus tallier.Consensus) map[string]time.Duration {
 	d := u.daemon
 	var mu sync.Mutex
-	offsets := map[string]time.Duration{d.settings.Name: 0}
+	offsets := map[string]time.Duration{}
 	// Daemons that have left are asked for their last counts until they don't answer any more.
 	answered := u.now().Add(-answerTime)
 	var group errgroup.Group
@@ -412,7 +424,7 @@
 	for _, m := range d.members.All() {
 		if m.Status <= prober.Suspect || (m.Status == prober.Left && len(u.book.Load().Missing([]string{m.ID}, answered)) == 0) {
 			group.Go(func() error {
-				if offset, ok := u.collectFrom(ctx, m, holding, corrections[m.ID]); ok {
+				if offset, ok := u.collectFrom(ctx, m, holding, consensus); ok {
 					mu.Lock()
 					defer mu.Unlock()
 					offsets[m.ID] = offset
@@ -426,9 +438,9 @@
 	return offsets
 }
 
-// collectFrom collects the counts of one daemon. It returns how far its clock is ahead of the
-// own one, if the call was fast enough to tell.
-func (u *usageDuty) collectFrom(ctx context.Context, m prober.Member, holding bool, correction time.Duration) (time.Duration, bool) {
+// collectFrom collects the counts of one daemon. It returns the offset of its clock from the own
+// monotonic one, if the call was fast enough to tell.
+func (u *usageDuty) collectFrom(ctx context.Context, m prober.Member, holding bool, consensus tallier.Consensus) (time.Duration, bool) {
 	d := u.daemon
 	book := u.book.Load()
 	incarnation, sequence := book.Position(m.ID)
@@ -438,11 +450,14 @@
 		Holding:     holding,
 		Fence:       u.fence.Load(),
 		Window:      u.fixed.Load(),
-		Correction:  correction.Milliseconds(),
+	}
+	start := u.read()
+	if by, wrong := consensus.Corrections[m.ID]; wrong {
+		request.Correction = by.Milliseconds()
+		request.Consensus = (start.Monotonic + consensus.Offset).Milliseconds()
 	}
 	var reply countsReply
 	var err error
-	start, startTime := u.read(), u.now()
 	if m.ID == d.settings.Name {
 		reply, err = u.handleCounts(ctx, request)
 	} else {
@@ -456,7 +471,7 @@
 	u.learn(reply.Fence, reply.Window)
 	book.Apply(m.ID, reply.Delta, time.UnixMilli(reply.Now))
 	took := u.read().Since(start)
-	return time.UnixMilli(reply.Now).Sub(startTime.Add(took / 2)), took <= maxClockDelay
+	return time.Duration(reply.Now)*time.Millisecond - start.Monotonic - took/2, took <= maxClockDelay
 }
 
 // liveDaemons returns the names of the daemons whose counts a report waits for.
--- a/internal/tallier/calendar.go
+++ b/internal/tallier/calendar.go
@@ -1,6 +1,7 @@
 package tallier
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -37,30 +38,35 @@
 	return len(missing) == 0 || !now.Before(c.End(number).Add(c.Patience)), missing
 }
 
-// maxClockError is the difference from the median of all clocks up to which a clock is left
-// alone, and minClocks the number of clocks that have a median.
-const (
-	maxClockError = 300 * time.Millisecond
-	minClocks     = 5
-)
+// MaxClockError is the difference from the median of all clocks up to which a clock is left
+// alone.
+const MaxClockError = 300 * time.Millisecond
+
+// minClocks is the number of clocks that have a median.
+const minClocks = 5
 
-// Corrections returns, by daemon, by how much the clocks have to be moved that differ from most
-// others. The parameter offsets holds what each of them is ahead of one of them.
-func Corrections(offsets map[string]time.Duration) map[string]time.Duration {
-	corrections := map[string]time.Duration{}
+// Consensus is what most clocks agree on.
+type Consensus struct {
+	// Offset is the median of the offsets of the clocks from a reference.
+	Offset time.Duration
+	// Corrections holds, by daemon, by how much the clocks have to be moved that differ from
+	// it.
+	Corrections map[string]time.Duration
+}
+
+// Agree returns the consensus of clocks, given their offsets from a reference that is not
+// moved meanwhile. It has no corrections if there are too few clocks.
+func Agree(offsets map[string]time.Duration) Consensus {
+	var c Consensus
 	if len(offsets) < minClocks {
-		return corrections
-	}
-	sorted := make([]time.Duration, 0, len(offsets))
-	for _, offset := range offsets {
-		sorted = append(sorted, offset)
+		return c
 	}
-	slices.Sort(sorted)
-	median := sorted[len(sorted)/2]
+	sorted := slices.Sorted(maps.Values(offsets))
+	c.Offset, c.Corrections = sorted[len(sorted)/2], map[string]time.Duration{}
 	for daemon, offset := range offsets {
-		if by := median - offset; by.Abs() > maxClockError {
-			corrections[daemon] = by
+		if by := c.Offset - offset; by.Abs() > MaxClockError {
+			c.Corrections[daemon] = by
 		}
 	}
-	return corrections
+	return c
 }
--- a/internal/tallier/tallier_test.go
+++ b/internal/tallier/tallier_test.go
@@ -141,13 +141,13 @@
 	}
 }
 
-func TestCorrections(t *testing.T) {
+func TestAgree(t *testing.T) {
 	offsets := map[string]time.Duration{"a": 0, "b": 3 * time.Second, "c": 3010 * time.Millisecond, "d": 2990 * time.Millisecond, "e": 3 * time.Second}
-	if got := tallier.Corrections(offsets); len(got) != 1 || got["a"] != 3*time.Second {
-		t.Errorf("corrections %v, want 3s of a", got)
+	if got := tallier.Agree(offsets); got.Offset != 3*time.Second || len(got.Corrections) != 1 || got.Corrections["a"] != 3*time.Second {
+		t.Errorf("consensus %+v, want a correction of a by 3s", got)
 	}
 	delete(offsets, "e")
-	if got := tallier.Corrections(offsets); len(got) != 0 {
-		t.Errorf("corrections %v of too few clocks", got)
+	if got := tallier.Agree(offsets); len(got.Corrections) != 0 {
+		t.Errorf("consensus %+v of too few clocks", got)
 	}
 }
