--- a/internal/elector/elector.go
+++ b/internal/elector/elector.go
@@ -263,21 +263,29 @@
 	}
 	e.mu.Lock()
 	version, unknown := e.version, e.unknown
-	e.unknown = true
 	e.mu.Unlock()
-	if !unknown {
-		record := t.Record
-		record.Window, record.Report = window, report
-		written, err := e.write(ctx, record, version)
-		if err == nil {
-			return e.adopt(t, record, written)
+	if unknown {
+		record, read, err := e.readOwn(ctx, t)
+		switch {
+		case err != nil:
+			return err
+		case record.Window == window:
+			return nil
+		case record.Window != t.Record.Window:
+			return ErrChanged
 		}
+		version = read
 	}
-	record, version, err := e.read(ctx)
-	if err != nil {
-		return err
+	e.mu.Lock()
+	e.unknown = true
+	e.mu.Unlock()
+	record := t.Record
+	record.Window, record.Report = window, report
+	version, err := e.write(ctx, record, version)
+	if err == nil {
+		return e.adopt(t, record, version)
 	}
-	if err := e.adopt(t, record, version); err != nil {
+	if record, _, err = e.readOwn(ctx, t); err != nil {
 		return err
 	}
 	if record.Window != window {
@@ -286,6 +294,16 @@
 	return nil
 }
 
+// readOwn reads the record, which may be another one than the last that was written, and makes
+// it the term's.
+func (e *Elector) readOwn(ctx context.Context, t Term) (Record, uint64, error) {
+	record, version, err := e.read(ctx)
+	if err != nil {
+		return Record{}, 0, err
+	}
+	return record, version, e.adopt(t, record, version)
+}
+
 // adopt makes a record that was read or written the term's. The term ends if it is another
 // daemon's.
 func (e *Elector) adopt(t Term, record Record, version uint64) error {
--- a/internal/elector/elector_test.go
+++ b/internal/elector/elector_test.go
@@ -368,6 +368,26 @@
 	}
 }
 
+// TestFixAfterOutage checks that a report is fixed at once when the store is back.
+func TestFixAfterOutage(t *testing.T) {
+	s := newFakeStore()
+	a := newElector(s, "a", nil)
+	take(t, a)
+	s.down = true
+	for range 3 {
+		if err := a.Fix(t.Context(), 7, map[string]int{"huka": 3}); !errors.Is(err, errLost) {
+			t.Fatalf("error %v, want that the store is down", err)
+		}
+	}
+	s.down = false
+	if err := a.Fix(t.Context(), 7, map[string]int{"huka": 4}); err != nil {
+		t.Fatal(err)
+	}
+	if term, _ := a.Term(); term.Record.Window != 7 || term.Record.Report["huka"] != 4 {
+		t.Errorf("record %+v, want the last counts of window 7", term.Record)
+	}
+}
+
 // TestFenceOutlivesRestore checks that a fence is never used twice although the store has come
 // back from an older copy.
 func TestFenceOutlivesRestore(t *testing.T) {
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -489,8 +489,8 @@
 // ends.
 func (u *usageDuty) report(ctx context.Context) {
 	var sent reportState
-	for ctx.Err() == nil {
-		sleep(ctx, max(reportPeriod, sent.pause))
+	for pause := reportPeriod; ctx.Err() == nil; pause = max(reportPeriod, sent.pause) {
+		sleep(ctx, pause)
 		t, held := u.elector.Term()
 		if held && t.Record.Token != sent.token {
 			sent = reportState{token: t.Record.Token}
@@ -498,11 +498,19 @@
 		if !held || u.elector.Remaining() <= 0 {
 			continue
 		}
-		if t.Record.Window != 0 && t.Record.Window != sent.window {
-			sent = u.send(ctx, t, sent)
-			continue
+		if t.Record.Window == 0 || t.Record.Window == sent.window {
+			fixed, err := u.fixNext(ctx, t)
+			if err != nil {
+				sent = sent.withFailure(0)
+			}
+			if !fixed {
+				continue
+			}
+			if t, held = u.elector.Term(); !held || u.elector.Remaining() <= 0 {
+				continue
+			}
 		}
-		u.fixNext(ctx, t)
+		sent = u.send(ctx, t, sent)
 	}
 }
 
@@ -511,20 +519,27 @@
 	token string
 	// window is the last window whose report was accepted.
 	window int64
-	// pause is the time until the next call.
+	// pause is the time until the next call, or 0 for reportPeriod.
 	pause time.Duration
 	// refusals is the number of refusals of the present report.
 	refusals int
 }
 
+// withFailure returns the state after a failed call, with a longer pause, which is at least
+// retryAfter.
+func (s reportState) withFailure(retryAfter time.Duration) reportState {
+	s.pause = max(retryAfter, min(maxReportPause, max(reportPeriod, 2*s.pause)))
+	return s
+}
+
 // isRefusal reports whether a status means that sending the report again is pointless.
 func isRefusal(status int) bool {
 	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
 		status != http.StatusTooManyRequests && status != http.StatusRequestTimeout
 }
 
-// fixNext fixes the report of the next window if it is due.
-func (u *usageDuty) fixNext(ctx context.Context, t elector.Term) {
+// fixNext fixes the report of the next window if it is due, and reports whether it did.
+func (u *usageDuty) fixNext(ctx context.Context, t elector.Term) (fixed bool, err error) {
 	d := u.daemon
 	now := u.now()
 	next := max(t.Record.Window, u.fixed.Load()) + 1
@@ -537,12 +552,12 @@
 	}
 	due, missing := u.calendar.Due(next, now, u.book.Load(), u.liveDaemons())
 	if !due {
-		return
+		return false, nil
 	}
 	counts := u.book.Load().Sum(next)
 	if err := u.elector.Fix(ctx, next, counts); err != nil {
 		d.log.Warn("usage report not fixed", "window", next, "fence", t.Record.Fence, "err", err)
-		return
+		return false, err
 	}
 	u.learn(t.Record.Fence, next)
 	if len(missing) > 0 {
@@ -550,6 +565,7 @@
 		d.log.Warn("usage report lacks counts", "window", next, "missing", missing)
 	}
 	d.log.Info("usage report fixed", "window", next, "fence", t.Record.Fence, "customers", len(counts), "requests", counts.Total(), "sinceend", now.Sub(u.calendar.End(next)))
+	return true, nil
 }
 
 // send sends the report that is fixed, and returns what was sent then.
@@ -580,7 +596,7 @@
 		}
 	}
 	d.incrementCounter("duty.failures")
-	sent.pause = max(retryAfter, min(maxReportPause, max(reportPeriod, 2*sent.pause)))
+	sent = sent.withFailure(retryAfter)
 	if isRefusal(status) {
 		sent.refusals++
 	}
