--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -38,6 +38,8 @@
 	Endless Endless
 	// Padding is the number of bytes that are added to each response.
 	Padding int
+	// Discard discards the bodies of requests as they arrive.
+	Discard bool
 }
 
 // Endless is the part of a response that does not end.
@@ -142,6 +144,13 @@
 	b.faults = f
 }
 
+// SetSlots replaces the slots that the target reports.
+func (b *Backend) SetSlots(slots int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Slots = slots
+}
+
 // SetColdFor makes the target report that it warms up for the given duration.
 func (b *Backend) SetColdFor(duration time.Duration) {
 	b.mu.Lock()
@@ -232,7 +241,7 @@
 
 // serve handles one request.
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(b.bodyReader(r))
 	if err != nil {
 		return
 	}
@@ -285,6 +294,18 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s%s", b.instance, r.RequestURI, body, strings.Repeat(" ", f.Padding))
 }
 
+// bodyReader returns the body of a request as it is kept.
+func (b *Backend) bodyReader(r *http.Request) io.Reader {
+	b.mu.Lock()
+	discard := b.faults.Discard
+	b.mu.Unlock()
+	if !discard {
+		return r.Body
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return http.NoBody
+}
+
 // sendEndless sends a response until the daemon closes the connection.
 func (b *Backend) sendEndless(w http.ResponseWriter, r *http.Request, part Endless) {
 	conn, _, err := http.NewResponseController(w).Hijack()
