allocator: one account of the memory that is held for others

Cause: the bodies of clients in chunks were not bounded while they were read (4 KiB were reserved), those of other daemons were read whole by io.ReadAll, short ones and headers were free, buffers grew with two copies at once, and responses were released before their clients had read them. Connections were bounded by the open files only.

Change: package allocator, a core without network. A holding grows before the bytes are kept; if there is no room, the request that has not grown for longest loses first (0.2 s), then idle connections, then responses that nobody reads; a part is left for short requests, and the last for responses. receiver, carrier.Server and carrier.Memory charge it for connections, headers, requests, bodies on both hops and responses until written. Bodies are kept in segments. A body from another daemon is charged before it is asked for, so that the refusal is a promise. Responses are written without a second copy. sidecar.pause (30 s, 4 kB) replaces the bound of 30 s for a whole body; sidecar.files bounds clients' connections to half of the open files. Go's soft limit rises to 0.7 of the memory, above the account with what a daemon has itself. Bytes held are gauges; log lines name the client.

--- a/cmd/coltsfootd/main.go
+++ b/cmd/coltsfootd/main.go
@@ -119,4 +119,4 @@
 
 // memoryLimitShare is the fraction of the memory in the settings that becomes Go's
 // soft memory limit. Near the limit the garbage collector runs more often.
-const memoryLimitShare = 0.6
+const memoryLimitShare = 0.7
--- a/internal/carrier/bodylimiter_test.go
+++ b/internal/carrier/bodylimiter_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
@@ -136,7 +137,7 @@
 			ID: "1", Instance: "i", Method: "POST", URI: "/", Host: "h",
 			Kind:     matcher.Idempotent,
 			Deadline: time.Now().Add(time.Minute), Objective: time.Now().Add(time.Minute),
-			Body: []byte(body),
+			Body: allocator.Body{[]byte(body)},
 		})
 		return err
 	}
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
@@ -52,7 +53,7 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   allocator.Body
 }
 
 // TargetResponse is a complete response of a target.
--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
@@ -68,7 +69,7 @@
 		URI:       "/pay/%2f?a=b;c&",
 		Host:      "a.example",
 		Header:    http.Header{"X-Own": {"1"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
-		Body:      []byte(body),
+		Body:      allocator.Body{[]byte(body)},
 	}
 }
 
@@ -100,7 +101,7 @@
 			t.Errorf("response %+v, want the one that the server returned", resp)
 		}
 		if got.ID != sent.ID || got.URI != sent.URI || got.Host != sent.Host || got.Instance != "i-1" || got.Priority != 2 || got.Kind != matcher.NonIdempotent ||
-			got.Caller != "c" || got.MaxWait != sent.MaxWait || got.Baseline != sent.Baseline || string(got.Body) != body {
+			got.Caller != "c" || got.MaxWait != sent.MaxWait || got.Baseline != sent.Baseline || got.Body.String() != body {
 			t.Errorf("received attempt %+v, want the one that was sent", got)
 		}
 		if got.Header.Get("X-Own") != "1" || got.Header.Get("X-Hop") != "" || got.Header.Get("Coltsfoot-Key") != "" {
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -135,7 +135,7 @@
 // rejected. A non-idempotent request waits for 100 Continue whatever the size of
 // its body, because it cannot have run before the body is sent.
 func expectsContinue(a *Attempt) bool {
-	return AwaitsTurn(len(a.Body)) || (a.Kind == matcher.NonIdempotent && len(a.Body) > 0)
+	return AwaitsTurn(a.Body.Len()) || (a.Kind == matcher.NonIdempotent && a.Body.Len() > 0)
 }
 
 // AwaitsTurn reports whether a body of a size is sent only when the daemon of the target
@@ -165,7 +165,7 @@
 	if expectsContinue(a) {
 		h.Set("Expect", "100-continue")
 	}
-	body := forwarder.NewBody(a.Body)
+	body := &forwarder.Body{Reader: a.Body.Reader()}
 	return &http.Request{
 		Method:        a.Method,
 		URL:           a.URL(address),
@@ -175,7 +175,7 @@
 		ProtoMinor:    1,
 		Header:        h,
 		Body:          body,
-		ContentLength: int64(len(a.Body)),
+		ContentLength: int64(a.Body.Len()),
 	}, body
 }
 
--- a/internal/carrier/memory.go
+++ b/internal/carrier/memory.go
@@ -4,10 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
@@ -31,6 +33,8 @@
 type Memory struct {
 	// Limit is the bound in bytes. Buffers of up to freeBytes are not charged.
 	Limit int64
+	// Account, if set, is charged for all buffers, the short ones too.
+	Account *allocator.Account
 
 	used atomic.Int64
 }
@@ -42,6 +46,10 @@
 	if size >= m.maxBody() {
 		return nil, nil, fmt.Errorf("%w: %w", errTooLong, &forwarder.TooLongError{})
 	}
+	account := m.open()
+	if err := account.Grow(nextCapacity(0, size)); err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", err, &forwarder.TooLongError{})
+	}
 	buffer := make([]byte, 0, nextCapacity(0, size))
 	for {
 		n, err := r.Read(buffer[len(buffer):cap(buffer)])
@@ -53,12 +61,19 @@
 		if err == nil {
 			next := nextCapacity(capacity, size)
 			if err = m.charge(capacity, next); err == nil {
-				buffer = append(make([]byte, 0, next), buffer...)
-				continue
+				if err = account.Grow(next); err == nil {
+					buffer = append(make([]byte, 0, next), buffer...)
+					account.Shrink(capacity)
+					continue
+				}
+				_ = m.charge(next, capacity)
 			}
 			err = fmt.Errorf("%w: %w", err, &forwarder.TooLongError{Read: int64(len(buffer))})
 		}
-		release := sync.OnceFunc(func() { _ = m.charge(capacity, 0) })
+		release := sync.OnceFunc(func() {
+			_ = m.charge(capacity, 0)
+			account.Release()
+		})
 		if err != io.EOF {
 			release()
 			return nil, nil, err
@@ -67,6 +82,17 @@
 	}
 }
 
+// open returns a holding for one body. Without an account, it is one without a bound.
+func (m *Memory) open() *allocator.Holding {
+	if m == nil || m.Account == nil {
+		return unbounded.Open(allocator.Responses, nil)
+	}
+	return m.Account.Open(allocator.Responses, nil)
+}
+
+// unbounded is the account of bodies without one.
+var unbounded = allocator.Account{Limit: math.MaxInt64 / 2}
+
 // ReadBody reads the body of a response like ReadAll.
 func (m *Memory) ReadBody(resp *http.Response) (body []byte, release func(), err error) {
 	size := resp.ContentLength
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
@@ -23,6 +24,8 @@
 	// MaxBodyTurn is how long a large body may block other large bodies; 0 means
 	// maxBodyTurn.
 	MaxBodyTurn time.Duration
+	// Account accounts for the bodies of attempts. It may be nil.
+	Account *allocator.Account
 
 	bodyLimiter bodyLimiter
 }
@@ -48,17 +51,19 @@
 	began := time.Now()
 	a := readAttempt(r)
 	acknowledged := false
+	held := cmp.Or(s.Account, &unbounded).Open(allocator.Forwarded, nil)
+	defer held.Release()
 	b := &body{}
 	b.readAll = func() error {
 		connection := http.NewResponseController(w)
 		if err := connection.SetReadDeadline(a.Deadline); err != nil {
 			return err
 		}
-		data, err := io.ReadAll(&turnReader{
+		data, err := readAttemptBody(held, &turnReader{
 			Reader:  http.MaxBytesReader(w, r.Body, s.MaxBody()),
 			left:    r.ContentLength,
 			endTurn: b.endTurn,
-		})
+		}, r.ContentLength, s.MaxBody())
 		if err != nil {
 			return err
 		}
@@ -102,6 +107,26 @@
 	_, _ = w.Write(targetResponse.Body)
 }
 
+// readAttemptBody reads the body of an attempt. One of a known size is accounted for before
+// it is asked for, so that it isn't sent in vain.
+func readAttemptBody(held *allocator.Holding, r io.Reader, size, limit int64) (allocator.Body, error) {
+	if size < 0 || size > limit {
+		return held.ReadBody(r, size, limit, func(int) {})
+	}
+	if err := held.Grow(size + 1); err != nil {
+		return nil, err
+	}
+	data := make([]byte, size+1) // the last byte is for the end
+	n, err := io.ReadFull(r, data)
+	switch {
+	case err == nil:
+		return nil, allocator.ErrTooLarge
+	case int64(n) < size || (err != io.EOF && err != io.ErrUnexpectedEOF):
+		return nil, err
+	}
+	return allocator.Body{data[:n]}, nil
+}
+
 // respondFailure sends a failure instead of a target's response.
 func respondFailure(w http.ResponseWriter, f *Failure) {
 	writeFailure(w.Header(), f)
--- a/internal/deliverer/body_test.go
+++ b/internal/deliverer/body_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
@@ -62,7 +63,7 @@
 			ID: "1", Service: "s", Instance: "i-1", Rule: "r", Kind: matcher.Idempotent,
 			Deadline: time.Now().Add(20 * time.Second), Objective: time.Now().Add(20 * time.Second), MaxWait: 10 * time.Second,
 			Method: "POST", URI: "/", Host: "h", Header: http.Header{"X-Attempt-Id": {"1"}},
-			Body: []byte(body),
+			Body: allocator.Body{[]byte(body)},
 		})
 		return err
 	}
@@ -143,7 +144,7 @@
 					ID: "1", Service: "s", Instance: "i-1", Rule: "r", Kind: matcher.Idempotent,
 					Deadline: time.Now().Add(20 * time.Second), Objective: time.Now().Add(20 * time.Second), MaxWait: 10 * time.Second,
 					Method: "POST", URI: "/", Host: "h", Header: http.Header{"X-Attempt-Id": {"1"}},
-					Body: []byte(strings.Repeat("x", 100<<10)),
+					Body: allocator.Body{[]byte(strings.Repeat("x", 100<<10))},
 				})
 				sent <- err
 			}()
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -235,8 +235,8 @@
 		URL:           a.URL(d.Target),
 		Host:          a.Host,
 		Header:        h,
-		Body:          forwarder.NewBody(a.Body),
-		ContentLength: int64(len(a.Body)),
+		Body:          &forwarder.Body{Reader: a.Body.Reader()},
+		ContentLength: int64(a.Body.Len()),
 	}
 	return r.WithContext(ctx)
 }
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
@@ -104,7 +105,7 @@
 		URI:       "/pay",
 		Host:      "a.example",
 		Header:    http.Header{"X-Attempt-Id": {id}},
-		Body:      []byte("body"),
+		Body:      allocator.Body{[]byte("body")},
 	})
 }
 
--- a/internal/deliverer/incomplete_test.go
+++ b/internal/deliverer/incomplete_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
@@ -54,7 +55,7 @@
 		URI:       "/upload",
 		Host:      "a.example",
 		Header:    http.Header{"X-Attempt-Id": {"id-1"}},
-		Body:      bytes.Repeat([]byte("x"), uploadBytes),
+		Body:      allocator.Body{bytes.Repeat([]byte("x"), uploadBytes)},
 	})
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -121,7 +121,12 @@
 		excluded: map[string]bool{},
 		busy:     map[string]bool{},
 	}
-	defer c.release()
+	handled := false
+	defer func() {
+		if !handled { // it panics
+			c.release()
+		}
+	}()
 	targetResponse, err := d.forward(ctx, c)
 	if err != nil && c.failedResponse != nil {
 		targetResponse, err = c.failedResponse, nil
@@ -137,7 +142,9 @@
 	default:
 		resp = c.errorResponse(err, d.Clock.Now())
 	}
+	resp.Done = c.release
 	d.reportResult(c, resp.Status, err)
+	handled = true
 	return resp
 }
 
@@ -268,8 +275,8 @@
 	pool := d.Pool(c.service)
 	req := chooser.Request{
 		Rule:       c.rule.Name,
-		Bytes:      len(c.request.Body),
-		AwaitsTurn: carrier.AwaitsTurn(len(c.request.Body)),
+		Bytes:      c.request.Body.Len(),
+		AwaitsTurn: carrier.AwaitsTurn(c.request.Body.Len()),
 		Exclude:    func(instance string) bool { return c.excluded[instance] || (!c.mayQueue && c.busy[instance]) },
 	}
 	if first {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
@@ -117,7 +118,7 @@
 	}
 	return r.Handle(ctx, &receiver.Request{
 		Request: request,
-		Body:    []byte("body"),
+		Body:    allocator.Body{[]byte("body")},
 		Began:   time.Now(),
 	})
 }
@@ -310,7 +311,7 @@
 		if left > want || left < want-50*time.Millisecond {
 			t.Errorf("header %q: deadline in %v, want %v", header, left, want)
 		}
-		if r.sent[0].Caller != "caller" || string(r.sent[0].Body) != "body" {
+		if r.sent[0].Caller != "caller" || r.sent[0].Body.String() != "body" {
 			t.Errorf("attempt %+v, want caller \"caller\" and body \"body\"", r.sent[0])
 		}
 	}
--- a/internal/dispatcher/target_test.go
+++ b/internal/dispatcher/target_test.go
@@ -11,11 +11,13 @@
 	"testing"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 )
 
 // twoHops is a dispatcher whose attempts pass the connection between two daemons and that
@@ -83,10 +85,13 @@
 		Limits: func() receiver.Limits {
 			return receiver.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
 		},
-		OnRejected:       func(*receiver.Request, int, error) {},
-		OnPanic:          func(*receiver.Request, any) {},
-		OnUnanswered:     func(receiver.Ending) {},
-		MaxBufferedBytes: 1 << 20,
+		OnRejected:   func(*receiver.Request, int, error) {},
+		OnPanic:      func(*receiver.Request, any) {},
+		OnUnanswered: func(receiver.Ending) {},
+		Account: &allocator.Account{
+			Limit: 1 << 20,
+			Clock: timekeeper.System{},
+		},
 	}
 	go func() { _ = s.Serve(ctx, ln) }()
 	conn, err := net.Dial("tcp", ln.Addr().String())
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -76,6 +76,11 @@
 	RetrySlack float64 `json:"retryslack"`
 	// MemoryMiB is the memory limit of the process in MiB.
 	MemoryMiB int `json:"memory"`
+	// Files is the limit of the process's open files; 0 means that of the kernel, which
+	// applies also if it is lower.
+	Files int `json:"files,omitempty"`
+	// Pause is the longest time in which some of a body must arrive from a client.
+	Pause parser.Duration `json:"pause,omitzero"`
 }
 
 // check adds an error to group for each invalid setting.
@@ -89,6 +94,9 @@
 	if s.Heartbeat.Duration <= 0 || s.GracePeriod.Duration <= 0 {
 		group.Add(fmt.Errorf("sidecar: want a positive heartbeat and grace"))
 	}
+	if s.Files < 0 || s.Pause.Duration < 0 {
+		group.Add(fmt.Errorf("sidecar: want files and pause of at least 0"))
+	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.MemoryMiB <= 0 {
 		group.Add(fmt.Errorf("sidecar: want retry ratio and slack of at least 0, and positive memory"))
 	}
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -17,6 +18,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
@@ -26,8 +28,18 @@
 	maxPipelined = 32
 	// readBufferSize is the size of a connection's read buffer, in bytes.
 	readBufferSize = 4 << 10
-	// bodyTimeout bounds the time to read one body.
-	bodyTimeout = 30 * time.Second
+	// DefaultPause is the default of Server.Pause. No client stays idle for as long.
+	DefaultPause = 30 * time.Second
+	// progressBytes is the part of a body that must arrive in Server.Pause.
+	progressBytes = 4 << 10
+	// connectionBytes is the memory of a connection without a request, with its
+	// goroutines and its read buffer, and requestBytes that of a request without header
+	// and body. A header takes headerFactor of its size.
+	connectionBytes = 20 << 10
+	requestBytes    = 8 << 10
+	headerFactor    = 2
+	// writeSize is the size of the parts in which responses are written.
+	writeSize = 64 << 10
 	// writeTimeout bounds the time to write one response.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout is how long the server reads on after it has announced the
@@ -46,6 +58,9 @@
 type exchange struct {
 	request  *Request
 	response chan *Response
+	// held accounts for the response from its end until it has been written. It is nil
+	// for an empty one.
+	held *allocator.Holding
 	// last means that no further request is read from the connection.
 	last bool
 }
@@ -60,6 +75,8 @@
 	exchanges chan *exchange
 	ctx       context.Context
 	cancel    context.CancelFunc
+	// held accounts for the connection without its requests.
+	held *allocator.Holding
 
 	mu sync.Mutex
 	// pending holds the requests whose responses have not been written. reading is
@@ -80,7 +97,7 @@
 func newConnection(s *Server, conn net.Conn) *connection {
 	limit := &limitedReader{conn: conn}
 	ctx, cancel := context.WithCancel(forwarder.WithConn(context.Background(), conn))
-	return &connection{
+	c := &connection{
 		server:    s,
 		conn:      conn,
 		limit:     limit,
@@ -89,12 +106,20 @@
 		ctx:       ctx,
 		cancel:    cancel,
 	}
+	c.held = s.Account.Open(allocator.Connections, c.closeIfIdle)
+	return c
 }
 
 // serve serves the connection until it ends, and closes it.
 func (c *connection) serve() {
 	defer c.server.removeConnection(c)
 	defer c.conn.Close()
+	defer c.held.Release()
+	if c.held.Grow(connectionBytes) != nil {
+		c.cancel()
+		c.server.refused.Add(1)
+		return
+	}
 	writerDone := make(chan struct{})
 	go func() {
 		defer close(writerDone)
@@ -115,6 +140,32 @@
 	c.report()
 }
 
+// closeIfIdle ends the wait for a request. One that has arrived is read.
+func (c *connection) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) == 0 && !c.reading && !c.closing {
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// revokeRequest ends the reading of a request.
+func (c *connection) revokeRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit.revoked.Store(true)
+	_ = c.conn.SetReadDeadline(time.Now())
+}
+
+// setReadDeadline sets the deadline for reading a request, unless it is revoked.
+func (c *connection) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.limit.revoked.Load() {
+		_ = c.conn.SetReadDeadline(t)
+	}
+}
+
 // linger reads and discards data until the client closes the connection, for at
 // most lingerTimeout, and returns the number of bytes. Without it, the close could
 // reset the connection before the client has the last response.
@@ -154,12 +205,15 @@
 		x := &exchange{
 			request:  r,
 			response: make(chan *Response, 1),
-			last:     err != nil || r.Close,
+			last:     err != nil || r.Close || c.held.Revoked(),
 		}
 		if !c.enqueue(x) {
 			return false
 		}
 		if err != nil {
+			if r == nil {
+				err = Class.New("client %v: %w", c.conn.RemoteAddr(), err)
+			}
 			c.server.OnRejected(r, status, err)
 			x.response <- errorResponse(status)
 			return false
@@ -212,6 +266,7 @@
 	defer c.mu.Unlock()
 	c.reading = !c.closing
 	c.used = true
+	c.held.SetState(allocator.Kept)
 	return c.reading
 }
 
@@ -282,6 +337,7 @@
 	if len(c.pending) > 0 || c.reading || c.closing {
 		return
 	}
+	c.held.SetState(allocator.Idle)
 	deadline := time.Now()
 	switch {
 	case !c.server.stopped.Load():
@@ -301,14 +357,28 @@
 func (c *connection) readRequest() (r *Request, status int, err error) {
 	limits := c.server.Limits()
 	began := time.Now()
-	_ = c.conn.SetReadDeadline(began.Add(limits.HeaderTimeout))
+	held := c.server.Account.Open(allocator.Requests, c.revokeRequest)
+	defer func() {
+		if err != nil {
+			held.Release()
+		}
+	}()
+	held.SetState(allocator.Unfinished)
+	if err := held.Grow(requestBytes + headerFactor*int64(c.reader.Buffered())); err != nil {
+		return nil, http.StatusServiceUnavailable, err
+	}
+	c.setReadDeadline(began.Add(limits.HeaderTimeout))
+	c.limit.header = held
 	req, err := http.ReadRequest(c.reader)
+	c.limit.header = nil
 	if err != nil && c.limit.err != nil {
 		// ReadRequest calls a line that breaks off malformed.
 		err = c.limit.err
 	}
 	switch {
 	case err == nil:
+	case c.isRevoked(err):
+		return nil, http.StatusServiceUnavailable, err
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, http.StatusRequestTimeout, Class.New("timeout while reading the header")
 	case errors.Is(err, errHeaderTooLarge):
@@ -325,52 +395,62 @@
 		return nil, http.StatusRequestEntityTooLarge, errBodyTooLarge
 	}
 	c.limit.remaining = unlimited
-	body, status, err := c.readBody(req, limits)
+	body, status, err := c.readBody(req, limits, held)
 	if err != nil {
 		return nil, status, err
 	}
+	held.SetState(allocator.Kept)
+	if held.Revoked() {
+		return nil, http.StatusServiceUnavailable, errRevoked
+	}
 	_ = c.conn.SetReadDeadline(time.Time{})
 	return &Request{
 		Request: req,
 		Body:    body,
 		Began:   began,
+		held:    held,
 	}, 0, nil
 }
 
+// isRevoked reports whether a request was not read because there is no memory for it.
+func (c *connection) isRevoked(err error) bool {
+	return c.limit.revoked.Load() || errors.Is(err, allocator.ErrFull) || errors.Is(err, allocator.ErrRevoked)
+}
+
 // readBody reads a body of limited size. On error, status is the response status,
 // or 0 if the connection failed.
-func (c *connection) readBody(req *http.Request, limits Limits) (body []byte, status int, err error) {
+func (c *connection) readBody(req *http.Request, limits Limits, held *allocator.Holding) (body allocator.Body, status int, err error) {
 	if req.ContentLength == 0 {
 		return nil, 0, nil
 	}
-	reservedBytes := max(req.ContentLength, readBufferSize)
-	if c.server.bufferedBytes.Add(reservedBytes) > c.server.MaxBufferedBytes {
-		c.server.bufferedBytes.Add(-reservedBytes)
-		return nil, http.StatusServiceUnavailable, Class.New("out of buffer memory for request bodies")
-	}
-	defer c.server.bufferedBytes.Add(-reservedBytes)
-	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	pause := cmp.Or(c.server.Pause, DefaultPause)
+	c.setReadDeadline(time.Now().Add(pause))
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && !c.responsePending() {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, 0, err
 		}
 	}
-	var buffer bytes.Buffer
-	if req.ContentLength > 0 {
-		buffer.Grow(int(req.ContentLength))
-	}
-	n, err := buffer.ReadFrom(io.LimitReader(req.Body, limits.BodyBytes+1))
+	arrived := 0
+	body, err = held.ReadBody(req.Body, req.ContentLength, limits.BodyBytes, func(bytes int) {
+		if arrived += bytes; arrived >= progressBytes {
+			arrived = 0
+			c.setReadDeadline(time.Now().Add(pause))
+		}
+	})
 	switch {
+	case err == nil:
+		return body, 0, nil
+	case c.isRevoked(err):
+		return nil, http.StatusServiceUnavailable, err
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, http.StatusRequestTimeout, Class.New("timeout while reading the body")
-	case err != nil && isMalformed(err):
+	case errors.Is(err, allocator.ErrTooLarge):
+		return nil, http.StatusRequestEntityTooLarge, errBodyTooLarge
+	case isMalformed(err):
 		return nil, http.StatusBadRequest, err
-	case err != nil:
+	default:
 		return nil, 0, err
-	case n > limits.BodyBytes:
-		return nil, http.StatusRequestEntityTooLarge, errBodyTooLarge
 	}
-	return buffer.Bytes(), 0, nil
 }
 
 // responsePending reports whether the response to an earlier request is pending.
@@ -389,10 +469,16 @@
 
 // handle runs the handler for one request.
 func (c *connection) handle(x *exchange) {
-	bufferedBytes := int64(len(x.request.Body))
-	c.server.bufferedBytes.Add(bufferedBytes)
-	defer c.server.bufferedBytes.Add(-bufferedBytes)
-	x.response <- c.callHandler(x.request)
+	resp := c.callHandler(x.request)
+	if len(resp.Body) > 0 {
+		x.held = c.server.Account.Open(allocator.Responses, func() { c.abort(reasonUnread, nil) })
+		x.held.Take(int64(len(resp.Body)))
+	}
+	if resp.Done != nil {
+		resp.Done()
+	}
+	x.request.held.Release()
+	x.response <- resp
 }
 
 // callHandler calls the handler. A panic in it ends the request and not the process.
@@ -414,10 +500,14 @@
 		resp := <-x.response
 		final := c.beginResponse(x)
 		if resp.Abort || c.ctx.Err() != nil {
+			x.release()
 			c.abort(reasonAborted, nil)
 			break
 		}
-		if err := c.writeResponse(x, resp, final); err != nil {
+		x.held.SetState(allocator.Unread)
+		err := c.writeResponse(x, resp, final)
+		x.release()
+		if err != nil {
 			c.abort(reasonWriteFailed, err)
 			break
 		}
@@ -432,6 +522,14 @@
 	}
 	for x := range c.exchanges {
 		<-x.response
+		x.release()
+	}
+}
+
+// release releases the memory of the response.
+func (x *exchange) release() {
+	if x.held != nil {
+		x.held.Release()
 	}
 }
 
@@ -477,11 +575,36 @@
 	if x.request != nil {
 		out.Request = x.request.Request
 	}
-	var buffer bytes.Buffer
-	if err := out.Write(&buffer); err != nil {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w := bufio.NewWriterSize(&responseWriter{
+		conn: c.conn,
+		held: x.held,
+	}, min(writeSize, headBytes+len(r.Body)))
+	if err := out.Write(w); err != nil {
 		return err
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := c.conn.Write(buffer.Bytes())
-	return err
+	return w.Flush()
+}
+
+// headBytes is the size of most responses' heads.
+const headBytes = 1 << 10
+
+// responseWriter writes a response in parts, and records that it advances.
+type responseWriter struct {
+	conn net.Conn
+	held *allocator.Holding
+}
+
+// Write writes to the connection.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		n, err := w.conn.Write(p[written:min(len(p), written+writeSize)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+		w.held.Advance()
+	}
+	return written, nil
 }
--- a/internal/receiver/ending.go
+++ b/internal/receiver/ending.go
@@ -1,6 +1,9 @@
 package receiver
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Ending describes a connection that ended without a response to a request, or
 // while the client was still sending.
@@ -8,6 +11,8 @@
 	// Reason says why the connection ended, and Err is the error behind it, or nil.
 	Reason string
 	Err    error
+	// Client is the address of the client.
+	Client net.Addr
 	// Pending is the number of requests without a complete response, and Requests
 	// holds those among them that were read.
 	Pending  int
@@ -32,6 +37,7 @@
 	reasonLast        = "after the last response"
 	reasonWriteFailed = "write failed"
 	reasonAborted     = "aborted"
+	reasonUnread      = "response not read"
 	reasonExit        = "process exit"
 )
 
@@ -57,6 +63,7 @@
 	c.mu.Lock()
 	e, reported := c.ending, c.reported
 	c.reported = true
+	e.Client = c.conn.RemoteAddr()
 	e.Pending, e.Reading = len(c.pending), c.reading
 	for _, x := range c.pending {
 		if x.request != nil {
--- a/internal/receiver/limit.go
+++ b/internal/receiver/limit.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 )
 
@@ -28,6 +29,9 @@
 // unlimited is the value of limitedReader.remaining that means no limit.
 const unlimited = int(^uint(0) >> 1)
 
+// errRevoked means that the memory of a request was given to others.
+var errRevoked = Class.New("no memory for a request that does not arrive")
+
 var errHeaderTooLarge = Class.New("header exceeds the size limit")
 
 // limitedReader returns errHeaderTooLarge once remaining bytes have been read.
@@ -39,6 +43,11 @@
 	strictDeadline bool
 	// err is the error of the last read.
 	err error
+	// header accounts for the header that is being read, or is nil.
+	header *allocator.Holding
+	// revoked is set when the memory of the request that is being read was given to
+	// others.
+	revoked atomic.Bool
 	// lastRead is the Unix time of the last read that returned data, in
 	// nanoseconds.
 	lastRead atomic.Int64
@@ -50,12 +59,21 @@
 		l.err = errHeaderTooLarge
 		return 0, l.err
 	}
+	if l.revoked.Load() {
+		l.err = errRevoked
+		return 0, l.err
+	}
 	read := forwarder.Read
 	if l.strictDeadline {
 		read = net.Conn.Read
 	}
 	n, err := read(l.conn, p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	if n > 0 && l.header != nil {
+		if growErr := l.header.Grow(headerFactor * int64(n)); growErr != nil {
+			n, err = 0, growErr
+		}
+	}
 	l.err = err
 	if n > 0 {
 		l.lastRead.Store(time.Now().UnixNano())
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -18,6 +18,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/tracker"
 )
 
@@ -28,9 +29,11 @@
 type Request struct {
 	*http.Request
 	// Body is the complete body.
-	Body []byte
+	Body allocator.Body
 	// Began is the time at which the server began to read the request.
 	Began time.Time
+	// held accounts for the request until it has been handled.
+	held *allocator.Holding
 }
 
 // Response is a complete response.
@@ -40,6 +43,8 @@
 	Body   []byte
 	// Abort closes the connection without a response.
 	Abort bool
+	// Done releases what the handler accounts for the body. It may be nil.
+	Done func()
 }
 
 // Limits bounds the requests on a connection.
@@ -74,10 +79,17 @@
 	mu          sync.Mutex
 	listeners   map[*tracker.Listener]bool
 	connections map[*connection]bool
-	// bufferedBytes is the number of body bytes in memory.
-	bufferedBytes atomic.Int64
-	// MaxBufferedBytes bounds the body bytes in memory over all connections.
-	MaxBufferedBytes int64
+
+	// Account accounts for the memory of connections, requests and responses.
+	Account *allocator.Account
+	// Pause is the longest time in which progressBytes of a body, or its end, must
+	// arrive; 0 means DefaultPause.
+	Pause time.Duration
+	// MaxConnections bounds the open connections; 0 means no bound. Beyond it, one is
+	// closed that has no request, or one that has not arrived.
+	MaxConnections int
+	// refused counts the connections that were closed when they were accepted.
+	refused atomic.Int64
 }
 
 // Serve serves the connections of a listener until ctx ends or Stop is called. After
@@ -96,6 +108,7 @@
 		case ctx.Err() != nil, s.stopped.Load() && errors.Is(err, net.ErrClosed):
 			return nil
 		case isTemporary(err):
+			s.Account.RevokeConnection()
 			time.Sleep(acceptRetryDelay)
 		default:
 			return Class.Wrap(err)
@@ -104,11 +117,31 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
+	if !s.admitConnection() {
+		s.refused.Add(1)
+		_ = conn.Close()
+		return
+	}
 	c := newConnection(s, conn)
 	s.addConnection(c)
 	go c.serve()
 }
 
+// admitConnection reports whether a further connection may be served. If there are too
+// many, it closes another one. Those that are closing may exceed the bound by an eighth.
+func (s *Server) admitConnection() bool {
+	s.mu.Lock()
+	open := len(s.connections)
+	s.mu.Unlock()
+	if s.MaxConnections == 0 || open < s.MaxConnections {
+		return true
+	}
+	return open < s.MaxConnections+s.MaxConnections/8 && s.Account.RevokeConnection()
+}
+
+// Refused returns the number of connections that were closed when they were accepted.
+func (s *Server) Refused() int64 { return s.refused.Load() }
+
 // acceptRetryDelay is the delay before the next accept after a temporary error,
 // such as a lack of file descriptors.
 const acceptRetryDelay = 20 * time.Millisecond
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -12,7 +12,9 @@
 	"testing"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
+	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 )
 
 // testTimeout bounds each wait. It is long enough for a busy machine.
@@ -27,12 +29,15 @@
 
 func newServer(limits receiver.Limits, handle func(context.Context, *receiver.Request) *receiver.Response) *receiver.Server {
 	return &receiver.Server{
-		Handle:           handle,
-		Limits:           func() receiver.Limits { return limits },
-		OnRejected:       func(*receiver.Request, int, error) {},
-		OnUnanswered:     func(receiver.Ending) {},
-		OnPanic:          func(*receiver.Request, any) {},
-		MaxBufferedBytes: 1 << 20,
+		Handle:       handle,
+		Limits:       func() receiver.Limits { return limits },
+		OnRejected:   func(*receiver.Request, int, error) {},
+		OnUnanswered: func(receiver.Ending) {},
+		OnPanic:      func(*receiver.Request, any) {},
+		Account: &allocator.Account{
+			Limit: 1 << 20,
+			Clock: timekeeper.System{},
+		},
 	}
 }
 
@@ -178,7 +183,7 @@
 		IdleTimeout:   testTimeout,
 	}
 	_, address := startServer(t, limits, func(_ context.Context, r *receiver.Request) *receiver.Response {
-		return okResponse(string(r.Body))
+		return okResponse(r.Body.String())
 	})
 	for name, test := range map[string]struct {
 		request string
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -34,7 +35,7 @@
 func fingerprint(a *carrier.Attempt) string {
 	digest := sha256.New()
 	_, _ = fmt.Fprintf(digest, "%q %q %q\n", a.Method, a.URI, a.Caller)
-	_, _ = digest.Write(a.Body)
+	_, _ = io.Copy(digest, a.Body.Reader())
 	return hex.EncodeToString(digest.Sum(nil)[:fingerprintBytes])
 }
 
--- a/internal/sidecar/crashes_test.go
+++ b/internal/sidecar/crashes_test.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
@@ -48,7 +49,7 @@
 		Method:   "POST",
 		URI:      "/u/",
 		Header:   http.Header{},
-		Body:     []byte(body),
+		Body:     allocator.Body{[]byte(body)},
 	}
 }
 
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -100,7 +100,7 @@
 		client, _ := d.platform.Client(r.Header)
 		ids = append(ids, client.ID)
 	}
-	d.log.Log(level, "connection ended without a response", "reason", e.Reason, "requests", ids, "pending", e.Pending, "reading", e.Reading,
+	d.log.Log(level, "connection ended without a response", "reason", e.Reason, "client", e.Client, "requests", ids, "pending", e.Pending, "reading", e.Reading,
 		"discarded", e.Discarded, "sinceread", e.SinceRead, "sincestop", e.SinceDrain, "err", e.Err)
 }
 
@@ -173,6 +173,7 @@
 		metrics.GetOrRegisterGauge("member.targets", d.metrics).Update(int64(v.targets))
 		metrics.GetOrRegisterGauge("plan.version", d.metrics).Update(int64(v.plan.Version))
 	}
+	d.observeMemory()
 	w.Header().Set("Content-Type", "text/plain")
 	metrics.WriteOnce(d.metrics, w)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,6 +19,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/broadcaster"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
@@ -122,9 +123,11 @@
 	broadcaster      *broadcaster.Broadcaster
 	chooser          *chooser.Chooser
 	gate             *admitter.Gate
-	receiver         *receiver.Server
-	judge            shifter.Judge
-	retryBudget      *dispatcher.RetryBudget
+	// account accounts for the memory that the process holds for others.
+	account     *allocator.Account
+	receiver    *receiver.Server
+	judge       shifter.Judge
+	retryBudget *dispatcher.RetryBudget
 	// quarantine identifies the requests that crash targets.
 	quarantine *quarantiner.Quarantiner
 
@@ -246,11 +249,8 @@
 	callReadTimeout = 5 * time.Second
 	// maxMemberCalls bounds the membership calls in progress.
 	maxMemberCalls = 64
-	// bodyMemoryShare is the share of the memory limit that buffered client bodies
-	// may use.
-	bodyMemoryShare = 0.25
-	// responseMemoryShare is the share that the bodies of the target's responses may
-	// use, and peerResponseMemoryShare that of responses from other daemons.
+	// responseMemoryShare is the share of the memory limit that the bodies of the target's
+	// responses may use, and peerResponseMemoryShare that of responses from other daemons.
 	responseMemoryShare     = 0.125
 	peerResponseMemoryShare = 0.25
 )
@@ -312,6 +312,7 @@
 		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		OnNewFact: func(spreader.Fact) {},
 	})
+	d.account = newAccount(s.Sidecar.MemoryMiB, o.Clock)
 	d.operatorFollower = d.newFollower(o.Platform.OperatorPrefix, d.applyOperator)
 	d.outcomeFollower = d.newFollower(o.Platform.OutcomePrefix, d.applyOutcomes)
 	d.receiver = d.newReceiver()
@@ -361,12 +362,14 @@
 		OnResult:    d.observeRequest,
 	}
 	return &receiver.Server{
-		Handle:           dispatch.Handle,
-		Limits:           d.limits,
-		OnRejected:       d.observeRejectedRequest,
-		OnPanic:          d.observePanic,
-		OnUnanswered:     d.observeUnanswered,
-		MaxBufferedBytes: int64(bodyMemoryShare * float64(d.sidecar.MemoryMiB<<20)),
+		Handle:         dispatch.Handle,
+		Limits:         d.limits,
+		OnRejected:     d.observeRejectedRequest,
+		OnPanic:        d.observePanic,
+		OnUnanswered:   d.observeUnanswered,
+		Account:        d.account,
+		Pause:          d.sidecar.Pause.Duration,
+		MaxConnections: d.maxConnections(),
 	}
 }
 
@@ -395,15 +398,11 @@
 		Key:     d.settings.Key,
 		Deliver: deliver.Deliver,
 		MaxBody: func() int64 { return d.limits().BodyBytes },
+		Account: d.account,
 	}
 	return deliver
 }
 
-// newMemory returns a share of the process's memory limit.
-func (d *Daemon) newMemory(share float64) *carrier.Memory {
-	return &carrier.Memory{Limit: int64(share * float64(d.sidecar.MemoryMiB<<20))}
-}
-
 // defaultLimits apply while no plan is known.
 var defaultLimits = receiver.Limits{
 	HeaderBytes:   16 << 10,
--- a/internal/soaker/crowd_test.go
+++ b/internal/soaker/crowd_test.go
@@ -52,7 +52,7 @@
 }
 
 // startCrowd starts two daemons with their targets. The second one has little memory.
-func startCrowd(t *testing.T, files int) *crowd {
+func startCrowd(t testing.TB, files int) *crowd {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
@@ -121,7 +121,7 @@
 
 // buildWithoutRace builds the daemon without the race detector, which takes several times
 // the memory, and returns the path of a script that runs it with a limit of open files.
-func buildWithoutRace(t *testing.T, files int) string {
+func buildWithoutRace(t testing.TB, files int) string {
 	t.Helper()
 	dir := t.TempDir()
 	program, script := filepath.Join(dir, "coltsfootd"), filepath.Join(dir, "run")
@@ -136,7 +136,7 @@
 }
 
 // setMemory changes the memory in the settings of a daemon that has not been started.
-func (c *crowd) setMemory(t *testing.T, n *node, mib int) {
+func (c *crowd) setMemory(t testing.TB, n *node, mib int) {
 	n.settings.Sidecar.MemoryMiB = mib
 	data, err := json.Marshal(n.settings)
 	if err != nil {
@@ -232,7 +232,7 @@
 }
 
 // usage returns the peak of the process's resident memory in KiB, and its open files.
-func (c *crowd) usage(t *testing.T) (peak, files int) {
+func (c *crowd) usage(t testing.TB) (peak, files int) {
 	t.Helper()
 	dir := fmt.Sprintf("/proc/%d/", c.first.Process.Pid)
 	status, err := os.ReadFile(dir + "status")
@@ -397,3 +397,33 @@
 	c.closeAll()
 	group.Wait()
 }
+
+// BenchmarkCrowd reports the resident memory of a daemon at its peak, with crowds of several
+// sizes and without one. Each size is one run, whatever b.N.
+func BenchmarkCrowd(b *testing.B) {
+	for name, act := range map[string]func(c *crowd) func(conn net.Conn, i int){
+		"bodies": func(*crowd) func(net.Conn, int) {
+			return func(conn net.Conn, i int) { sendChunks(conn, i, 64<<10, crowdBodyBytes) }
+		},
+		"connections": func(*crowd) func(net.Conn, int) {
+			return func(conn net.Conn, _ int) { _, _ = io.WriteString(conn, "GET /s/ HTTP/1.1\r\nHost") }
+		},
+		"readers": func(c *crowd) func(net.Conn, int) {
+			c.node.backend.SetFaults(emulator.BackendFaults{Padding: 12 << 20})
+			return func(conn net.Conn, i int) {
+				_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+				_, _ = io.WriteString(conn, head(http.MethodGet, "/s/", i, ""))
+				time.Sleep(5 * time.Second)
+			}
+		},
+	} {
+		for _, clients := range []int{0, 1, 10, 100} {
+			b.Run(fmt.Sprint(name, "-", clients), func(b *testing.B) {
+				c := startCrowd(b, crowdFiles)
+				c.run(c.node, clients, act(c))
+				peak, _ := c.usage(b)
+				b.ReportMetric(float64(peak)/1024, "MiB")
+			})
+		}
+	}
+}
