--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/allocator"
 	"github.com/coltsfootlane/coltsfootlane/internal/authenticator"
 	"github.com/coltsfootlane/coltsfootlane/internal/chooser"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
@@ -60,7 +61,7 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   allocator.Body
 }
 
 // TargetResponse is a complete response of a target.
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -84,6 +84,11 @@
 	// Duties are the calls to the platform that one daemon at a time makes, by the platform's
 	// names of them.
 	Duties map[string]Duty `json:"duties,omitempty"`
+	// Files is the limit of the process's open files; 0 means that of the kernel, which
+	// applies also if it is lower.
+	Files int `json:"files,omitempty"`
+	// Pause is the longest time in which some of a body must arrive from a client.
+	Pause parser.Duration `json:"pause,omitzero"`
 }
 
 // minRevokeWithin is the lowest RevokeWithin. Daemons learn of the state of the store with a
@@ -104,6 +109,9 @@
 	if s.Heartbeat.Duration <= 0 || s.GracePeriod.Duration <= 0 {
 		group.Add(fmt.Errorf("sidecar: want a positive heartbeat and grace"))
 	}
+	if s.Files < 0 || s.Pause.Duration < 0 {
+		group.Add(fmt.Errorf("sidecar: want files and pause of at least 0"))
+	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.MemoryMiB <= 0 {
 		group.Add(fmt.Errorf("sidecar: want retry ratio and slack of at least 0, and positive memory"))
 	}
