admitter, dispatcher: the order of patient requests only for those

Now only requests of patient rules, and the calls of targets that run those; silent daemons are given up by the objective only for them. TestQueueOrder.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -83,8 +83,9 @@
 	Priority int
 	// Nested means that a target makes the request while it runs another one.
 	Nested bool
-	// Late means that the client has waited for longer than its objective already.
-	Late bool
+	// Patient means that the client has the time to come back after a rejection, and Late
+	// that it has waited for longer than its objective already.
+	Patient, Late bool
 	// Deadline is the time after which the client no longer waits for the response.
 	Deadline time.Time
 	// Objective is the time by which the response should be sent.
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -548,3 +548,50 @@
 		t.Errorf("with a limit of the target: error %v, want %v", err, admitter.ErrLimited)
 	}
 }
+
+// TestQueueOrder checks the order in which requests of one service get slots: calls of
+// targets, whose work would be lost, then by priority, those in time, and earlier objectives.
+// Requests that are not patient keep the order of their arrival.
+func TestQueueOrder(t *testing.T) {
+	for name, test := range map[string]struct{ queue, want []string }{
+		"patient":     {queue: []string{"low", "late", "second", "first", "high", "nested"}, want: []string{"nested", "high", "first", "second", "late", "low"}},
+		"not patient": {queue: []string{"low", "b", "a", "high"}, want: []string{"high", "b", "a", "low"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(target())
+			for range target().Slots {
+				if err := r.acquire(r.newRequest()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			requests := map[string]func(*admitter.Request){
+				"low":    func(a *admitter.Request) { a.Priority = 3 },
+				"high":   func(a *admitter.Request) { a.Priority = 1 },
+				"late":   func(a *admitter.Request) { a.Patient, a.Late = true, true },
+				"first":  func(a *admitter.Request) { a.Patient, a.Objective = true, a.Objective.Add(-time.Minute) },
+				"second": func(a *admitter.Request) { a.Patient = true },
+				"nested": func(a *admitter.Request) { a.Nested, a.Priority = true, 4 },
+				"b":      func(*admitter.Request) {},
+				"a":      func(a *admitter.Request) { a.Objective = a.Objective.Add(-time.Minute) },
+			}
+			results := map[string]chan error{}
+			for _, name := range test.queue {
+				a := r.newRequest()
+				a.Deadline = a.Deadline.Add(time.Hour)
+				requests[name](&a)
+				results[name] = r.enqueue(t, a)
+			}
+			for _, want := range test.want {
+				r.Release("status", admitter.Outcome{Duration: time.Millisecond})
+				select {
+				case err := <-results[want]:
+					if err != nil {
+						t.Fatalf("%s: error %v", want, err)
+					}
+				case <-time.After(10 * time.Second):
+					t.Fatalf("%s is not next", want)
+				}
+			}
+		})
+	}
+}
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -25,7 +25,7 @@
 // precedes reports whether a request goes before another one in the queue. Nested requests
 // go first: if one fails, the work of the target that makes it is lost too. Late requests of
 // a priority go last, since otherwise all others would be late too while there are too few
-// slots. The rest go in the order of their objectives.
+// slots. Patient ones go in the order of their objectives, and the rest in that of arrival.
 func (r Request) precedes(other Request) bool {
 	switch {
 	case r.Nested != other.Nested:
@@ -35,7 +35,7 @@
 	case r.Late != other.Late:
 		return other.Late
 	}
-	return r.Objective.Before(other.Objective)
+	return r.Patient && other.Patient && r.Objective.Before(other.Objective)
 }
 
 // makeRoom reports whether there is room in the queue. If the queue is full and the
--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -29,8 +29,9 @@
 	Priority int
 	// Nested means that a target makes the request while it runs another one.
 	Nested bool
-	// Late means that the client has waited for longer than its objective already.
-	Late bool
+	// Patient means that the client has the time to come back after a rejection, and Late
+	// that it has waited for longer than its objective already.
+	Patient, Late bool
 	// Caller is the service on the VM that the request comes from.
 	Caller string
 	// Customer is the name of the customer whose key the client has presented, or empty.
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -24,10 +24,10 @@
 	// target sends 102 Processing at once, and it rejects others at once.
 	silenceTimeout = 150 * time.Millisecond
 	// An attempt without any response may be cancelled after giveUpFraction of its
-	// remaining time, or objectiveFraction of that until its objective, but not before
-	// minGiveUp, because a daemon on a slow machine or link may need a few hundred
-	// milliseconds. A non-idempotent attempt is not cancelled once part of its body may
-	// have been sent.
+	// remaining time, or a patient one after objectiveFraction of the time until its
+	// objective, but not before minGiveUp, because a daemon on a slow machine or link may
+	// need a few hundred milliseconds. A non-idempotent attempt is not cancelled once part
+	// of its body may have been sent.
 	minGiveUp         = 200 * time.Millisecond
 	giveUpFraction    = 0.4
 	objectiveFraction = 0.6
@@ -122,7 +122,7 @@
 // giveUpAfter returns the time without any response after which an attempt may be cancelled.
 func (a *Attempt) giveUpAfter() time.Duration {
 	limit := giveUpFraction * float64(time.Until(a.Deadline))
-	if useful := time.Until(a.Objective); useful > 0 {
+	if useful := time.Until(a.Objective); a.Patient && useful > 0 {
 		limit = min(limit, objectiveFraction*float64(useful))
 	}
 	return max(minGiveUp, time.Duration(limit))
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -83,7 +83,7 @@
 	if a.Nested {
 		h.Set(nestedHeader, strconv.FormatBool(a.Nested))
 	}
-	if a.Late {
+	if a.Patient {
 		h.Set(lateHeader, strconv.FormatBool(a.Late))
 	}
 	h.Set(callerHeader, a.Caller)
@@ -110,6 +110,7 @@
 		Kind:      matcher.Kind(intHeader(h, kindHeader)),
 		Priority:  intHeader(h, priorityHeader),
 		Nested:    h.Get(nestedHeader) == strconv.FormatBool(true),
+		Patient:   h.Get(lateHeader) != "",
 		Late:      h.Get(lateHeader) == strconv.FormatBool(true),
 		Caller:    h.Get(callerHeader),
 		Customer:  h.Get(customerHeader),
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -128,6 +128,7 @@
 		Rule:      a.Rule,
 		Priority:  a.Priority,
 		Nested:    a.Nested,
+		Patient:   a.Patient,
 		Late:      a.Late,
 		Deadline:  a.Deadline,
 		Objective: a.Objective,
--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -120,6 +120,7 @@
 		Kind:      c.rule.Kind,
 		Priority:  c.rule.Priority,
 		Nested:    c.nested,
+		Patient:   isPatient(c.rule),
 		Late:      c.late,
 		Caller:    d.Caller,
 		Deadline:  c.deadline,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -77,7 +77,7 @@
 	Chooser     *chooser.Chooser
 	RetryBudget *RetryBudget
 	Throttler   *throttler.Throttler
-	// IsRunning reports whether the local target runs a request.
+	// IsRunning reports whether the local target runs a patient request.
 	IsRunning func(id string) bool
 	Clock     timekeeper.Clock
 	// ServesUntil returns the time at which the process ends, or the zero time if that is
@@ -214,7 +214,7 @@
 	c.service = d.chooseService(rule)
 	d.RetryBudget.Deposit(c.service)
 	c.nested = c.client.Parent != "" && d.IsRunning(c.client.Parent)
-	c.late = c.limitsRejections() && d.Throttler.IsLate(c.kind(), c.client.TimeLeft, rule.Objective)
+	c.late = d.isLate(c)
 	if !d.mayAsk(c) {
 		return nil, errThrottled
 	}
--- a/internal/dispatcher/overload_test.go
+++ b/internal/dispatcher/overload_test.go
@@ -201,6 +201,7 @@
 		Rule:      a.Rule,
 		Priority:  a.Priority,
 		Nested:    a.Nested,
+		Patient:   a.Patient,
 		Late:      a.Late,
 		Deadline:  a.Deadline,
 		Objective: a.Objective,
--- a/internal/dispatcher/room.go
+++ b/internal/dispatcher/room.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
@@ -67,6 +68,13 @@
 	}
 }
 
+// isLate reports whether the client of a patient request has waited for longer than its
+// objective already. A client that doesn't state its time has not.
+func (d *Dispatcher) isLate(c *call) bool {
+	left := c.client.TimeLeft
+	return c.limitsRejections() && left > 0 && d.Throttler.IsLate(c.kind(), left, c.rule.Objective)
+}
+
 // mayAsk reports whether a request may ask for a slot. A request whose client has less time
 // left than the rule allows always may, since it hardly comes back.
 func (d *Dispatcher) mayAsk(c *call) bool {
@@ -92,6 +100,6 @@
 	if c.rule == nil || !c.limitsRejections() || c.deliveries > 0 {
 		return c.retryAfter
 	}
-	left := c.client.TimeLeft - d.Clock.Now().Sub(c.request.Began)
+	left := cmp.Or(c.client.TimeLeft, c.rule.Timeout) - d.Clock.Now().Sub(c.request.Began)
 	return max(c.retryAfter, d.Throttler.RetryAfter(c.kind(), left))
 }
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -8,7 +8,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
 )
 
-// runningRequests holds the IDs of the requests that the local target runs. It is safe
+// runningRequests holds the IDs of the patient requests that the local target runs. It is safe
 // for concurrent use. The zero value is empty.
 type runningRequests struct {
 	mu     sync.Mutex
@@ -28,7 +28,7 @@
 	}
 }
 
-// has reports whether the local target runs a request.
+// has reports whether the local target runs a patient request.
 func (r *runningRequests) has(id string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -36,12 +36,15 @@
 }
 
 // beforeForward is called before an attempt is forwarded to the local target. It has the
-// results of checkQuarantine, and counts the request as running.
+// results of checkQuarantine, and counts a patient request as running.
 func (d *Daemon) beforeForward(a *carrier.Attempt) (connected func(), done func(r deliverer.Result, connectionLost bool), err error) {
 	connected, ended, err := d.checkQuarantine(a)
 	if err != nil {
 		return nil, nil, err
 	}
+	if !a.Patient {
+		return connected, ended, nil
+	}
 	d.running.add(a.ID, 1)
 	done = func(r deliverer.Result, connectionLost bool) {
 		d.running.add(a.ID, -1)
