--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -25,8 +25,9 @@
 	uri      string
 	deadline time.Time
 	canary   bool
-	// nested means that the local target makes the request while it runs another one.
-	nested bool
+	// patient means that the client has the time to come back after a rejection. nested means
+	// that the local target makes the request while it runs a patient one.
+	patient, nested bool
 	// late means that the client has waited for longer than its objective already.
 	late bool
 	// rejections counts the rejections by daemons whose targets have no free slot.
@@ -120,7 +121,7 @@
 		Kind:      c.rule.Kind,
 		Priority:  c.rule.Priority,
 		Nested:    c.nested,
-		Patient:   isPatient(c.rule),
+		Patient:   c.patient,
 		Late:      c.late,
 		Caller:    d.Caller,
 		Deadline:  c.deadline,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -77,8 +77,9 @@
 	Chooser     *chooser.Chooser
 	RetryBudget *RetryBudget
 	Throttler   *throttler.Throttler
-	// IsRunning reports whether the local target runs a patient request.
-	IsRunning func(id string) bool
+	// IsRunning reports whether the local target runs a request, and whether that is
+	// patient.
+	IsRunning func(id string) (running, patient bool)
 	Clock     timekeeper.Clock
 	// ServesUntil returns the time at which the process ends, or the zero time if that is
 	// not known. Requests with a later deadline are rejected.
@@ -213,7 +214,13 @@
 	}
 	c.service = d.chooseService(rule)
 	d.RetryBudget.Deposit(c.service)
-	c.nested = c.client.Parent != "" && d.IsRunning(c.client.Parent)
+	c.patient = isPatient(rule)
+	if c.client.Parent != "" {
+		if running, patient := d.IsRunning(c.client.Parent); running {
+			c.nested = patient
+			c.patient = c.patient && patient
+		}
+	}
 	c.late = d.isLate(c)
 	if !d.mayAsk(c) {
 		return nil, errThrottled
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -100,7 +100,7 @@
 		Chooser:     chooser.New(timekeeper.System{}),
 		RetryBudget: budget,
 		Throttler:   &throttler.Throttler{Clock: timekeeper.System{}},
-		IsRunning:   func(string) bool { return false },
+		IsRunning:   func(string) (running, patient bool) { return false, false },
 		Clock:       timekeeper.System{},
 		ServesUntil: func() time.Time { return time.Time{} },
 		OnResult:    func(result dispatcher.Result) { r.lastResult = result },
--- a/internal/dispatcher/overload_test.go
+++ b/internal/dispatcher/overload_test.go
@@ -74,12 +74,14 @@
 // overloadMesh is a mesh of dispatchers and gates without a network.
 type overloadMesh struct {
 	plan    *matcher.Plan
+	patient bool
 	entries []*dispatcher.Dispatcher
 	targets map[string]*meshTarget
 	pools   map[string]dispatcher.Pool
 
 	mu      sync.Mutex
 	results map[string]meshResult
+	// running holds the IDs of requests that make calls.
 	running map[string]bool
 }
 
@@ -104,6 +106,7 @@
 			newRule("cancel", "registry", matcher.NonIdempotent, 1, 600*time.Millisecond),
 			newRule("lookup", "registry", matcher.Idempotent, 1, 160*time.Millisecond),
 		}}),
+		patient: timeoutFactor == 3,
 		targets: map[string]*meshTarget{},
 		pools:   map[string]dispatcher.Pool{},
 		results: map[string]meshResult{},
@@ -165,10 +168,10 @@
 		Chooser:     chooser.New(timekeeper.System{}),
 		RetryBudget: budget,
 		Throttler:   &throttler.Throttler{Clock: timekeeper.System{}},
-		IsRunning: func(id string) bool {
+		IsRunning: func(id string) (running, patient bool) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
-			return m.running[id]
+			return m.running[id], m.patient
 		},
 		Clock:       timekeeper.System{},
 		ServesUntil: func() time.Time { return time.Time{} },
--- a/internal/dispatcher/room.go
+++ b/internal/dispatcher/room.go
@@ -30,7 +30,7 @@
 
 // limitsRejections reports whether the request is rejected after maxRejections. A nested
 // request is not, since the work of the target that makes it would be lost.
-func (c *call) limitsRejections() bool { return isPatient(c.rule) && !c.nested }
+func (c *call) limitsRejections() bool { return c.patient && !c.nested }
 
 // isRejectedOften counts a rejection for lack of a free slot and reports whether the request
 // must not be sent again.
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -8,46 +8,63 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/dispatcher"
 )
 
-// runningRequests holds the IDs of the patient requests that the local target runs. It is safe
-// for concurrent use. The zero value is empty.
+// runningRequests holds the requests that the local target runs, by ID. It is safe for
+// concurrent use. The zero value is empty.
 type runningRequests struct {
-	mu     sync.Mutex
-	counts map[string]int
+	mu      sync.Mutex
+	running map[string]runningRequest
 }
 
-// add adds delta to the number of runs of a request.
-func (r *runningRequests) add(id string, delta int) {
+type runningRequest struct {
+	// runs counts the attempts of the request that run.
+	runs    int
+	patient bool
+}
+
+// started counts a run of a request.
+func (r *runningRequests) started(id string, patient bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.counts == nil {
-		r.counts = map[string]int{}
+	if r.running == nil {
+		r.running = map[string]runningRequest{}
 	}
-	r.counts[id] += delta
-	if r.counts[id] <= 0 {
-		delete(r.counts, id)
+	r.running[id] = runningRequest{
+		runs:    r.running[id].runs + 1,
+		patient: patient,
+	}
+}
+
+// ended ends a run of a request.
+func (r *runningRequests) ended(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	request := r.running[id]
+	request.runs--
+	if request.runs <= 0 {
+		delete(r.running, id)
+		return
 	}
+	r.running[id] = request
 }
 
-// has reports whether the local target runs a patient request.
-func (r *runningRequests) has(id string) bool {
+// find reports whether the local target runs a request, and whether that is patient.
+func (r *runningRequests) find(id string) (running, patient bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.counts[id] > 0
+	request, running := r.running[id]
+	return running, request.patient
 }
 
 // beforeForward is called before an attempt is forwarded to the local target. It has the
-// results of checkQuarantine, and counts a patient request as running.
+// results of checkQuarantine, and counts the request as running.
 func (d *Daemon) beforeForward(a *carrier.Attempt) (connected func(), done func(r deliverer.Result, connectionLost bool), err error) {
 	connected, ended, err := d.checkQuarantine(a)
 	if err != nil {
 		return nil, nil, err
 	}
-	if !a.Patient {
-		return connected, ended, nil
-	}
-	d.running.add(a.ID, 1)
+	d.running.started(a.ID, a.Patient)
 	done = func(r deliverer.Result, connectionLost bool) {
-		d.running.add(a.ID, -1)
+		d.running.ended(a.ID)
 		ended(r, connectionLost)
 	}
 	return connected, done, nil
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -363,7 +363,7 @@
 		Chooser:     d.chooser,
 		RetryBudget: d.retryBudget,
 		Throttler:   d.throttler,
-		IsRunning:   d.running.has,
+		IsRunning:   d.running.find,
 		Clock:       d.clock,
 		ServesUntil: d.servesUntil,
 		OnResult:    d.observeRequest,
