--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -129,6 +129,7 @@
 		Customer:  a.Identity.Customer,
 		Priority:  a.Priority,
 		Nested:    a.Nested,
+		Patient:   a.Patient,
 		Late:      a.Late,
 		Deadline:  a.Deadline,
 		Objective: a.Objective,
