sidecar: a report doesn't wait a round for daemons that have just started

Change: from one round after a window has settled, the holder asks the missing daemons by themselves; a daemon whose port refuses connections is not waited for.

--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -104,6 +105,8 @@
 	// known from other daemons or the own term.
 	fence atomic.Uint64
 	fixed atomic.Int64
+	// asking is set while the counts that a report waits for are collected.
+	asking atomic.Bool
 	// delivered is the last window whose report the platform has accepted from this daemon.
 	delivered atomic.Int64
 
@@ -438,6 +441,30 @@
 	return offsets
 }
 
+// collectMissing collects the counts of daemons that a report waits for, unless it does already.
+// Daemons that have just started would otherwise hold it up until the next round, and others
+// start meanwhile.
+func (u *usageDuty) collectMissing(ctx context.Context, missing []string) {
+	if len(missing) == 0 || u.asking.Swap(true) {
+		return
+	}
+	go func() {
+		defer u.asking.Store(false)
+		var group errgroup.Group
+		group.SetLimit(maxCollections)
+		for _, name := range missing {
+			if m, ok := u.daemon.members.Get(name); ok {
+				group.Go(func() error {
+					u.collectFrom(ctx, m, true, tallier.Consensus{})
+					return nil
+				})
+			}
+		}
+		_ = group.Wait() // the functions never return an error
+		sleep(ctx, reportPeriod)
+	}()
+}
+
 // collectFrom collects the counts of one daemon. It returns the offset of its clock from the own
 // monotonic one, if the call was fast enough to tell.
 func (u *usageDuty) collectFrom(ctx context.Context, m prober.Member, holding bool, consensus tallier.Consensus) (time.Duration, bool) {
@@ -463,6 +490,9 @@
 	} else {
 		err = d.client.Call(ctx, m.Control, countsMethod, request, &reply)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		book.Close(m.ID, u.now())
+	}
 	if err != nil {
 		d.incrementCounter("duty.uncollected")
 		d.log.Debug("counts not collected", "peer", m.ID, "err", err)
@@ -552,6 +582,9 @@
 	}
 	due, missing := u.calendar.Due(next, now, u.book.Load(), u.liveDaemons())
 	if !due {
+		if now.Sub(u.calendar.End(next)) > settleTime+collectPeriod {
+			u.collectMissing(ctx, missing)
+		}
 		return false, nil
 	}
 	counts := u.book.Load().Sum(next)
--- a/internal/tallier/book.go
+++ b/internal/tallier/book.go
@@ -77,6 +77,15 @@
 	}
 }
 
+// Close records that a daemon has no more counts up to a time, because its process has ended.
+func (b *Book) Close(daemon string, through time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.sources[daemon]; s != nil {
+		s.through = through
+	}
+}
+
 // Missing returns those of the daemons whose counts were not collected up to a time, in order.
 func (b *Book) Missing(daemons []string, through time.Time) []string {
 	b.mu.Lock()
--- a/internal/tallier/tallier_test.go
+++ b/internal/tallier/tallier_test.go
@@ -101,6 +101,16 @@
 	}
 }
 
+func TestEndedProcessIsNotMissing(t *testing.T) {
+	b, end := tallier.NewBook(), time.UnixMilli(1_700_000_005_000)
+	collect(b, "a", tallier.NewLedger(11), end.Add(-time.Second))
+	b.Close("a", end)
+	b.Close("b", end)
+	if missing := b.Missing([]string{"a", "b"}, end); !slices.Equal(missing, []string{"b"}) {
+		t.Errorf("missing %v, want b, from which nothing was ever collected", missing)
+	}
+}
+
 func TestDue(t *testing.T) {
 	c := tallier.Calendar{
 		Window:   5 * time.Second,
