--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -49,7 +49,7 @@
 	if a.Left != nil {
 		if left = a.Left(); left <= 0 {
 			if r.Public {
-				return Identity{}, r.Priority, nil
+				return Identity{}, matcher.Holder{}.Priority(r), nil
 			}
 			return Identity{}, 0, ErrUnproven
 		}
@@ -64,7 +64,7 @@
 			Valid:    left,
 		}, holder.Priority(r), nil
 	case r.Public:
-		return Identity{}, r.Priority, nil
+		return Identity{}, matcher.Holder{}.Priority(r), nil
 	case key == "":
 		return Identity{}, 0, ErrNoKey
 	}
--- a/internal/matcher/customer.go
+++ b/internal/matcher/customer.go
@@ -12,6 +12,7 @@
 	// Keys are the keys that its clients may present. A plan holds only their hashes.
 	Keys []string
 	// Priority takes precedence over that of rules if HasPriority is set; 0 is the highest.
+	// Among requests of customers of one priority, that of rules counts.
 	Priority    int
 	HasPriority bool
 }
@@ -35,12 +36,22 @@
 	hasPriority bool
 }
 
-// Priority returns the priority of a request of the holder under a rule.
+// Limits of the priorities that are told apart.
+const (
+	maxCustomerPriority = 1 << 20
+	maxRulePriority     = 999
+)
+
+// Priority returns the priority of a request of the holder under a rule: that of the customer,
+// or of the rule if the customer has none, and among equal ones that of the rule. The zero
+// Holder stands for no customer.
 func (h Holder) Priority(r *Rule) int {
+	first := r.Priority
 	if h.hasPriority {
-		return h.priority
+		first = h.priority
 	}
-	return r.Priority
+	clamp := func(n, highest int) int { return max(0, min(n, highest)) }
+	return clamp(first, maxCustomerPriority)*(maxRulePriority+1) + clamp(r.Priority, maxRulePriority)
 }
 
 // KeySet holds the customers of a plan and the hashes of their keys. It is immutable.
