--- a/internal/soaker/crowd_test.go
+++ b/internal/soaker/crowd_test.go
@@ -44,6 +44,8 @@
 	node *node
 	// files is the limit of open files.
 	files int
+	// memoryMiB is the memory in the settings of the node.
+	memoryMiB int
 	// first is the process at the start.
 	first *exec.Cmd
 
@@ -53,6 +55,11 @@
 
 // startCrowd starts two daemons with their targets. The second one has little memory.
 func startCrowd(t testing.TB, files int) *crowd {
+	return startCrowdWith(t, files, crowdMemoryMiB, crowdBodyBytes)
+}
+
+// startCrowdWith is startCrowd with the memory of the second daemon and the limit of a body.
+func startCrowdWith(t testing.TB, files, memoryMiB, bodyBytes int) *crowd {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
@@ -88,15 +95,16 @@
 		}
 	}
 	c := &crowd{
-		soak:  s,
-		node:  s.nodes[1],
-		files: files,
+		soak:      s,
+		node:      s.nodes[1],
+		files:     files,
+		memoryMiB: memoryMiB,
 	}
 	c.setMemory(t, s.nodes[0], 16*crowdMemoryMiB)
-	c.setMemory(t, c.node, crowdMemoryMiB)
+	c.setMemory(t, c.node, memoryMiB)
 	s.declareConfig()
 	plan, _ := s.store.Value("op/config")
-	limit := fmt.Sprintf(`"max_body_bytes":%d`, crowdBodyBytes)
+	limit := fmt.Sprintf(`"max_body_bytes":%d`, bodyBytes)
 	changed := strings.Replace(string(plan), `"max_body_bytes":1048576`, limit, 1)
 	if !strings.Contains(changed, limit) {
 		t.Fatalf("plan without a limit of bodies: %s", plan)
@@ -212,8 +220,8 @@
 	c.checkOrdinary(t)
 	laterPeak, laterFiles := c.usage(t)
 	peak, files = max(peak, laterPeak), max(files, laterFiles)
-	if peak > crowdMemoryMiB<<10 {
-		t.Errorf("peak memory %d KiB, want at most %d", peak, crowdMemoryMiB<<10)
+	if peak > c.memoryMiB<<10 {
+		t.Errorf("peak memory %d KiB, want at most %d", peak, c.memoryMiB<<10)
 	}
 	if limit := int(maxFilesShare * float64(c.files)); files > limit {
 		t.Errorf("%d open files, want at most %d", files, limit)
@@ -300,6 +308,34 @@
 	c.check(t)
 }
 
+// TestCrowdOfOne sends one body of the largest size that the users' plans allow, through each
+// hop of a daemon with the least memory of their machines. It must be served.
+func TestCrowdOfOne(t *testing.T) {
+	const leastMemoryMiB, largestBytes = 184, 64 << 20
+	c := startCrowdWith(t, crowdFiles, leastMemoryMiB, largestBytes)
+	for _, n := range c.nodes {
+		n.backend.SetFaults(emulator.BackendFaults{Discard: true})
+	}
+	for path, entry := range map[string]*node{"/p/": c.node, "/u/": c.nodes[0]} {
+		status := 0
+		c.run(entry, 1, func(conn net.Conn, i int) {
+			_, _ = io.WriteString(conn, head(http.MethodPost, path, i, chunkedFraming))
+			chunk := fmt.Sprintf("%x\r\n%s\r\n", 1<<20, strings.Repeat("x", 1<<20))
+			for range largestBytes >> 20 {
+				_, _ = io.WriteString(conn, chunk)
+			}
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+			if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				status = resp.StatusCode
+			}
+		})
+		if status != http.StatusOK {
+			t.Errorf("%s: status %d, want 200", path, status)
+		}
+	}
+	c.check(t)
+}
+
 // TestCrowdOfLengths sends bodies with a length that stop short of it.
 func TestCrowdOfLengths(t *testing.T) {
 	c := startCrowd(t, crowdFiles)
