receiver: release the memory of a request that is rejected after it was read

Cause: a request that was read whole and then rejected, since the daemon stops or its connection closes, kept its holding.

Change: it is released. TestRejectedRequestIsReleased failed before with 8,298 bytes held; go test -race -count=2 ./internal/receiver passes.

--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -208,9 +208,11 @@
 			last:     err != nil || r.Close || c.held.Revoked(),
 		}
 		if !c.enqueue(x) {
+			r.release()
 			return false
 		}
 		if err != nil {
+			r.release()
 			if r == nil {
 				err = Class.New("client %v: %w", c.conn.RemoteAddr(), err)
 			}
@@ -477,7 +479,7 @@
 	if resp.Done != nil {
 		resp.Done()
 	}
-	x.request.held.Release()
+	x.request.release()
 	x.response <- resp
 }
 
--- a/internal/receiver/crowd_test.go
+++ b/internal/receiver/crowd_test.go
@@ -169,3 +169,22 @@
 		t.Errorf("%d connections refused, want none", n)
 	}
 }
+
+// TestRejectedRequestIsReleased checks that a request that arrives after Stop holds no memory
+// once it is rejected.
+func TestRejectedRequestIsReleased(t *testing.T) {
+	s := newServer(generousLimits, func(context.Context, *receiver.Request) *receiver.Response { return okResponse("") })
+	conn, r := dial(t, serve(t, s, nil))
+	waitForConnections(t, s, 1)
+	s.Stop()
+	send(t, conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody")
+	if resp, _ := readResponse(t, r); resp.StatusCode != 503 {
+		t.Errorf("status %d, want 503", resp.StatusCode)
+	}
+	waitForConnections(t, s, 0)
+	for _, c := range allocator.Causes() {
+		if used := s.Account.Used(c); used != 0 {
+			t.Errorf("%v: %d bytes held, want none", c, used)
+		}
+	}
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -36,6 +36,13 @@
 	held *allocator.Holding
 }
 
+// release releases the memory of a request that has been handled or won't be. r may be nil.
+func (r *Request) release() {
+	if r != nil {
+		r.held.Release()
+	}
+}
+
 // Response is a complete response.
 type Response struct {
 	Status int
