follower, sidecar: fewer calls and fetches for proofs

Short watches without changes no longer raise the copy's revision, which all other daemons would fetch.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -122,6 +122,10 @@
 	past pastStates
 	// forgotten is the era whose losses no longer count.
 	forgotten uint64
+	// watched is the position up to which watches have shown that nothing has changed since the
+	// current copy, and raisedAt the time at which a watch has last raised the copy's revision.
+	watched  storer.Position
+	raisedAt time.Time
 	// recent holds the last copies with different items, the current one last.
 	recent []Copy
 	// cancelWatch cancels the watch request in flight; it is nil if there is none.
@@ -348,7 +352,8 @@
 	defer cancel()
 	f.setCancelWatch(cancel)
 	copied := f.startCall()
-	result, err := f.Platform.WatchPrefix(watch, f.Prefix, base.Revision, f.watchTimeout())
+	after := f.watchedTo(base)
+	result, err := f.Platform.WatchPrefix(watch, f.Prefix, after, f.watchTimeout())
 	f.setCancelWatch(nil)
 	if err != nil {
 		if watch.Err() != nil && ctx.Err() == nil {
@@ -359,14 +364,47 @@
 	if result.Era != base.Era {
 		return storer.ErrCompacted
 	}
-	if result.Revision > base.Revision || len(result.Changes) > 0 {
+	if len(result.Changes) > 0 || f.raises(base, result) {
 		f.addPast(result.Changes)
 		f.Offer(base.With(result))
+		f.confirm(base, result, copied)
+		return nil
+	}
+	if c, _ := f.Copy(); c.Era == result.Era && result.Revision >= after {
+		copied()
 	}
-	f.confirm(base, result, copied)
 	return nil
 }
 
+// watchedTo returns the revision after which the next watch looks for changes.
+func (f *Follower) watchedTo(base Copy) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.watched.Era != base.Era {
+		return base.Revision
+	}
+	return max(base.Revision, f.watched.Revision)
+}
+
+// raises reports whether a result without changes raises the copy's revision. The other daemons
+// fetch each higher revision, so short watches raise it no more often than long ones do.
+func (f *Follower) raises(base Copy, result storer.RangeResult) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if result.Revision <= base.Revision {
+		return false
+	}
+	f.watched = storer.Position{
+		Era:      base.Era,
+		Revision: max(result.Revision, f.watched.Revision),
+	}
+	if f.WatchTimeout != nil && time.Since(f.raisedAt) < WatchTimeout/2 {
+		return false
+	}
+	f.raisedAt = time.Now()
+	return true
+}
+
 // addPast remembers the states that changes have made, also those that later changes replace.
 func (f *Follower) addPast(changes []storer.Change) {
 	var items []storer.Item
--- a/internal/sidecar/keys.go
+++ b/internal/sidecar/keys.go
@@ -17,9 +17,13 @@
 	// proofPeriod is the longest time for which a watch without a change stays open while
 	// keys depend on its proofs.
 	proofPeriod = time.Second
-	// urgentWatch replaces proofPeriod when a proof is older than half of what counts, since
-	// a watch proves the instant before it, but only once it has ended.
+	// urgentWatch replaces proofPeriod when a proof is overdue, since a watch proves the
+	// instant before it, but only once it has ended.
 	urgentWatch = 100 * time.Millisecond
+	// overdueShare is the share of the time for which a proof counts after which another is
+	// overdue. Relays' proofs are up to 2.1 s old, and a daemon needs a few hundred
+	// milliseconds to get one of its own.
+	overdueShare = 0.7
 )
 
 // updateReceipt is the response to a relay update. It is empty unless proofs matter.
@@ -64,19 +68,28 @@
 	}
 	age, ok := d.attester.Age()
 	switch {
-	case !ok || age >= d.attester.MaxAge/2:
+	case !ok || age >= d.overdueAge():
 		return urgentWatch
 	case d.isRelay():
 		return proofPeriod
 	default:
-		return d.attester.MaxAge/2 - age
+		return d.overdueAge() - age
 	}
 }
 
+// overdueAge returns the age of a proof at which another is overdue.
+func (d *Daemon) overdueAge() time.Duration {
+	return time.Duration(overdueShare * float64(d.attester.MaxAge))
+}
+
 // proofOverdue reports whether the daemon has to prove the operators' records itself, because
 // the relays' proofs are late.
 func (d *Daemon) proofOverdue() bool {
-	return d.provesKeys() && d.attester.Left() < d.attester.MaxAge/2
+	if !d.provesKeys() {
+		return false
+	}
+	age, ok := d.attester.Age()
+	return !ok || age >= d.overdueAge()
 }
 
 // proofLeft returns for how long keys can be relied on, and logs when they no longer can or
