throttler: bound what is kept, and forget what clients have stated

Kinds without requests are dropped after a minute. One client that states a very long time no longer makes all others late: what it may state is bounded, and the longest time is forgotten within seconds.

--- a/internal/dispatcher/room.go
+++ b/internal/dispatcher/room.go
@@ -21,6 +21,12 @@
 	// serviceMargin is the multiple of the mean service time within which most requests
 	// are answered.
 	serviceMargin = 1.5
+	// firstWaitFraction is the largest part of the useful wait for which a request queues
+	// at a target that is not the last one to be asked.
+	firstWaitFraction = 0.5
+	// maxPatience bounds the time that a client may state, as a multiple of the rule's
+	// timeout, so that a client that states a very long one doesn't make all others late.
+	maxPatience = 3
 )
 
 // isPatient reports whether a rule's clients have the time to come back after a rejection.
@@ -57,7 +63,8 @@
 	if c.rejections == maxRejections-1 {
 		return wait
 	}
-	return time.Duration(min(0.5, 2*d.Throttler.Rejected(c.kind())) * float64(wait))
+	fraction := min(firstWaitFraction, 2*d.Throttler.Rejected(c.kind()))
+	return time.Duration(fraction * float64(wait))
 }
 
 func (c *call) kind() throttler.Kind {
@@ -71,7 +78,7 @@
 // isLate reports whether the client of a patient request has waited for longer than its
 // objective already. A client that doesn't state its time has not.
 func (d *Dispatcher) isLate(c *call) bool {
-	left := c.client.TimeLeft
+	left := min(c.client.TimeLeft, maxPatience*c.rule.Timeout)
 	return c.limitsRejections() && left > 0 && d.Throttler.IsLate(c.kind(), left, c.rule.Objective)
 }
 
--- a/internal/throttler/throttler.go
+++ b/internal/throttler/throttler.go
@@ -10,6 +10,7 @@
 package throttler
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -34,6 +35,10 @@
 	// patienceSpread allows for the differences between the times that clients state with
 	// their first requests.
 	patienceSpread = 0.97
+	// patienceWindow is the time constant with which clients' longest time is forgotten.
+	patienceWindow = 10 * time.Second
+	// idleTTL is how long the counts of a kind without requests are kept.
+	idleTTL = time.Minute
 )
 
 // Kind identifies the requests that compete for the same slots with the same urgency.
@@ -48,7 +53,7 @@
 // counts holds exponentially decaying numbers of requests.
 type counts struct {
 	admitted, rejected float64
-	// longest is the longest time that clients had left.
+	// longest is the longest time that clients had left. It decays over patienceWindow.
 	longest time.Duration
 	at      time.Time
 }
@@ -59,8 +64,9 @@
 	// Random returns a number from 0 to 1; nil means a random one.
 	Random func() float64
 
-	mu    sync.Mutex
-	kinds map[Kind]counts
+	mu      sync.Mutex
+	kinds   map[Kind]counts
+	sweptAt time.Time
 }
 
 // Admit reports whether a request may ask for a slot. The more requests of its kind have
@@ -127,16 +133,27 @@
 		t.kinds = map[Kind]counts{}
 	}
 	now := t.Clock.Now()
+	t.sweep(now)
 	c := t.kinds[k]
-	decay := math.Exp(-float64(now.Sub(c.at)) / float64(window))
+	age := float64(now.Sub(c.at))
+	decay := math.Exp(-age / float64(window))
 	return counts{
-		longest:  c.longest,
 		admitted: c.admitted * decay,
 		rejected: c.rejected * decay,
+		longest:  time.Duration(float64(c.longest) * math.Exp(-age/float64(patienceWindow))),
 		at:       now,
 	}
 }
 
+// sweep deletes the counts of kinds without requests for idleTTL.
+func (t *Throttler) sweep(now time.Time) {
+	if now.Sub(t.sweptAt) < idleTTL {
+		return
+	}
+	t.sweptAt = now
+	maps.DeleteFunc(t.kinds, func(_ Kind, c counts) bool { return now.Sub(c.at) > idleTTL })
+}
+
 func (t *Throttler) random() float64 {
 	if t.Random != nil {
 		return t.Random()
--- a/internal/throttler/throttler_test.go
+++ b/internal/throttler/throttler_test.go
@@ -66,7 +66,7 @@
 
 // TestIsLate checks that only requests of clients that have waited count as late.
 func TestIsLate(t *testing.T) {
-	throttled, _ := newThrottler()
+	throttled, clock := newThrottler()
 	k := throttler.Kind{Service: "s", Rule: "r"}
 	const objective = 500 * time.Millisecond
 	for i, test := range []struct {
@@ -79,6 +79,7 @@
 		{left: 2 * time.Second, late: true},
 		{left: 900 * time.Millisecond, late: true},
 	} {
+		clock.Advance(100 * time.Millisecond)
 		if late := throttled.IsLate(k, test.left, objective); late != test.late {
 			t.Errorf("request %d with %v left: late %v, want %v", i, test.left, late, test.late)
 		}
