sidecar: a daemon that starts campaigns only when it knows others

Cause: a daemon that knows only itself is a candidate. Change: it waits until it has looked up the others, and 0.5 s.

--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -66,6 +66,9 @@
 	// doubles with each further one, up to maxCampaignPause.
 	campaignPause    = 500 * time.Millisecond
 	maxCampaignPause = 2 * time.Second
+	// joinPollPeriod is the interval at which a daemon that starts checks whether it has looked
+	// up the others.
+	joinPollPeriod = 50 * time.Millisecond
 	// settleTime is the time within which targets refuse what they don't run.
 	settleTime = 400 * time.Millisecond
 	// patienceShare is the share of the time until a report is late for which it waits for the
@@ -349,6 +352,7 @@
 
 // campaign takes the duty when it is vacant, and keeps it, until ctx ends.
 func (u *usageDuty) campaign(ctx context.Context) {
+	u.awaitMembers(ctx)
 	pause := campaignPause
 	for ctx.Err() == nil {
 		if t, held := u.elector.Term(); held {
@@ -379,6 +383,15 @@
 	}
 }
 
+// awaitMembers waits after the start until the daemon knows others. Each daemon is a candidate
+// among those that it knows, so all would campaign if they start together.
+func (u *usageDuty) awaitMembers(ctx context.Context) {
+	for !u.daemon.joined.Load() && ctx.Err() == nil {
+		sleep(ctx, joinPollPeriod)
+	}
+	sleep(ctx, campaignPause)
+}
+
 // keep renews the lease of a term once, or resigns if the daemon stops.
 func (u *usageDuty) keep(ctx context.Context, t elector.Term) {
 	if u.daemon.stopping.Load() {
