chooser: let requests leave the zone only if that pays

Cause: a target of another zone costs 20 ms and 2.5 ms a kilobyte more, whatever the room there and here. What an entry knows of targets ages towards idle ones, so under load, when all zones are short, most attempts go to other zones and are turned away there.

Change: spiller, a core without a network, decides for each rule what share of the requests leaves, by the expected response times in both zones, the objective and the sizes. Where it is in force, old knowledge ages towards the mean load of the zone's targets. Setting sidecar.stay, off by default. Counters by zone of choices and bytes, of attempts and of calls.

Not yet measured on the sites.

carrier's TestRoundTrip expects the size of the response in the load, which is new there.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -96,7 +96,7 @@
 		}
 		resp.Load.Lag = 0 // checked by TestLag
 		if resp.Status != 418 || string(resp.Body) != "answer" || resp.Header.Get("X-Server") != "2" ||
-			resp.Load != (chooser.Load{Running: 1, Queued: 2, Slots: 3, ServiceTime: 4 * time.Millisecond, FailureRate: 0.5, FaultRate: 0.25, ReopenAfter: time.Second}) {
+			resp.Load != (chooser.Load{Running: 1, Queued: 2, Slots: 3, ServiceTime: 4 * time.Millisecond, FailureRate: 0.5, FaultRate: 0.25, ReopenAfter: time.Second, ResponseBytes: len("answer")}) {
 			t.Errorf("response %+v, want the one that the server returned", resp)
 		}
 		if got.ID != sent.ID || got.URI != sent.URI || got.Host != sent.Host || got.Instance != "i-1" || got.Priority != 2 || got.Kind != matcher.NonIdempotent ||
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -224,5 +224,6 @@
 		Load:   readLoad(resp.Header),
 	}
 	targetResponse.Load.Lag = lag
+	targetResponse.Load.ResponseBytes = len(body)
 	return targetResponse, nil
 }
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/coltsfootlane/coltsfootlane/internal/spiller"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 )
 
@@ -24,11 +25,6 @@
 	// failurePenalty is the cost of a target that fails every request: about the
 	// time that a client loses when it has to retry.
 	failurePenalty = 600 * time.Millisecond
-	// zonePenalty is the cost of a target in another zone. The links between zones
-	// are more expensive than their few milliseconds of latency.
-	zonePenalty = 20 * time.Millisecond
-	// zonePenaltyPerKB is the cost of sending a kilobyte to another zone.
-	zonePenaltyPerKB = 2500 * time.Microsecond
 	// suspectPenalty ranks a target that did not respond behind all others.
 	suspectPenalty = 10 * time.Second
 	// jitter is the largest fraction by which a cost is randomly increased, so
@@ -66,8 +62,8 @@
 	Slots int
 }
 
-// Load is the load of a target. Its daemon reports all fields but Lag with each
-// response. The daemon that sent the request measures Lag.
+// Load is the load of a target. Its daemon reports all fields but Lag and ResponseBytes
+// with each response.
 type Load struct {
 	// Running is the number of requests that the target runs, and Queued the number
 	// that wait for one of its Slots.
@@ -88,8 +84,12 @@
 	// BodyWait is the expected time until the daemon reads the next large body.
 	BodyWait time.Duration
 	// Lag is the part of the response time that was not spent at the target's
-	// daemon. It grows when links are saturated or daemons are short of CPU time.
+	// daemon. It grows when links are saturated or daemons are short of CPU time. The
+	// daemon that sent the request measures it.
 	Lag time.Duration
+	// ResponseBytes is the size of the response's body, or 0 if it is unknown. The daemon
+	// that sent the request measures it.
+	ResponseBytes int
 }
 
 // targetState is the state of one target.
@@ -116,12 +116,24 @@
 // Chooser chooses between targets. It is safe for concurrent use.
 type Chooser struct {
 	Clock timekeeper.Clock
+	// StayTargets is the number of targets in the own zone from which on requests leave it
+	// only as package spiller decides. If it is 0, or if there are fewer, targets of other
+	// zones cost spiller.TransferCost more, and nothing else keeps requests from them.
+	StayTargets int
+	// OnZone is called for each choice that depends on package spiller. It may be nil, and
+	// must not call the Chooser.
+	OnZone func(z ZoneChoice)
 
 	mu     sync.Mutex
 	states map[string]*targetState
 	// serviceTime is the mean service time of each rule over all targets.
 	serviceTime map[string]time.Duration
-	sweptAt     time.Time
+	// responseBytes is the mean size of the responses of each rule.
+	responseBytes map[string]int
+	spills        map[spillKey]*spillState
+	sweptAt       time.Time
+	// pool holds the states of the targets of the choice in progress.
+	pool []*targetState
 }
 
 // New returns a Chooser without any state.
@@ -130,12 +142,20 @@
 		Clock:       clock,
 		states:      map[string]*targetState{},
 		serviceTime: map[string]time.Duration{},
+
+		responseBytes: map[string]int{},
+		spills:        map[spillKey]*spillState{},
 	}
 }
 
 // Request describes the request that a target is chosen for.
 type Request struct {
 	Rule string
+	// Service is the service of the targets.
+	Service string
+	// Objective is the time within which a response to the rule's requests should be sent,
+	// or 0 if there is none.
+	Objective time.Duration
 	// Bytes is the size of the request's body. AwaitsTurn means that the target's daemon
 	// reads such bodies one after the other.
 	Bytes      int
@@ -160,32 +180,48 @@
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
 	c.sweep(now)
-	var cost time.Duration
-	secondCost := suspectPenalty
-	for _, t := range targets {
+	var own, other group
+	c.pool = c.pool[:0]
+	for i := range targets {
+		t := &targets[i]
+		state := c.targetState(t.Instance, now)
+		c.pool = append(c.pool, state)
+		if c.StayTargets > 0 {
+			groupOf(t, &own, &other).count(state, t, now)
+		}
+	}
+	stays := c.stays(own, r)
+	for i := range targets {
+		t := &targets[i]
+		g := groupOf(t, &own, &other)
 		if r.Exclude != nil && r.Exclude(t.Instance) {
+			g.excluded++
 			continue
 		}
-		estimate := c.cost(c.targetState(t.Instance, now), t, r, now)
-		estimate += time.Duration(float64(estimate) * jitter * rand.Float64())
-		if !ok || estimate < cost {
-			if ok {
-				secondCost = cost
-			}
-			choice.Target, cost, ok = t, estimate, true
-		} else {
-			secondCost = min(secondCost, estimate)
+		use := 0.0
+		if stays {
+			use = g.meanUse()
 		}
+		estimate := c.cost(c.pool[i], t, r, now, use)
+		g.add(t, estimate, estimate+time.Duration(float64(estimate)*jitter*rand.Float64()), c.pool[i].loadAt)
+	}
+	best := own.merge(other)
+	if stays {
+		best = c.chooseZone(own, other, r, now)
 	}
-	if ok {
-		s := c.targetState(choice.Instance, now)
-		choice.QueueTimeout = secondCost - cost + s.expectedLag(now) + s.expectedBodyWait(r, now)
+	if best.size == 0 {
+		return Choice{}, false
 	}
-	return choice, ok
+	s := c.targetState(best.target.Instance, now)
+	return Choice{
+		Target:       *best.target,
+		QueueTimeout: best.secondCost - best.cost + s.expectedLag(now) + s.expectedBodyWait(r, now),
+	}, true
 }
 
-// cost returns the estimated response time of a target plus its penalties.
-func (c *Chooser) cost(s *targetState, t Target, r Request, now time.Time) time.Duration {
+// cost returns the estimated response time of a target plus its penalties. use is the load
+// per slot that is assumed as the reported one ages.
+func (c *Chooser) cost(s *targetState, t *Target, r Request, now time.Time, use float64) time.Duration {
 	staleness := s.staleness(now)
 	serviceTime, known := s.serviceTime[r.Rule]
 	if !known {
@@ -194,7 +230,7 @@
 	serviceTime += time.Duration(staleness * float64(c.meanServiceTime(r.Rule)-serviceTime))
 	slots := max(1, t.Slots)
 	// Without ageing, a target that was busy once would never be tried again.
-	reported := int((1 - staleness) * float64(s.load.Running+s.load.Queued))
+	reported := int((1-staleness)*float64(s.load.Running+s.load.Queued) + staleness*use*float64(slots))
 	load := max(s.inFlight, reported+s.inFlight-s.inFlightAtLoad)
 	cost := serviceTime + s.expectedLag(now) + s.expectedBodyWait(r, now)
 	cost += time.Duration(float64(serviceTime) * loadSlowdown * min(1, float64(load)/float64(slots)))
@@ -203,7 +239,7 @@
 	}
 	cost += time.Duration((1 - staleness) * s.load.FailureRate * float64(failurePenalty))
 	if !t.SameZone {
-		cost += zonePenalty + zonePenaltyPerKB*time.Duration(r.Bytes>>10)
+		cost += spiller.TransferCost(r.Bytes)
 	}
 	if wait := s.notBefore.Sub(now); wait > 0 {
 		cost += wait
@@ -290,6 +326,7 @@
 			delete(c.states, instance)
 		}
 	}
+	c.sweepSpills(now)
 }
 
 // RequestStarted counts a request as in flight at a target.
@@ -330,6 +367,9 @@
 	s.suspectUntil = time.Time{}
 	s.notBefore = now.Add(l.ReopenAfter)
 	s.lag += time.Duration(lagWeight * float64(l.Lag-s.lag))
+	if l.ResponseBytes > 0 {
+		c.recordResponseBytes(rule, l.ResponseBytes)
+	}
 	if l.ServiceTime <= 0 {
 		return
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -268,6 +268,8 @@
 	pool := d.Pool(c.service)
 	req := chooser.Request{
 		Rule:       c.rule.Name,
+		Service:    c.service,
+		Objective:  c.rule.Objective,
 		Bytes:      len(c.request.Body),
 		AwaitsTurn: carrier.AwaitsTurn(len(c.request.Body)),
 		Exclude:    func(instance string) bool { return c.excluded[instance] || (!c.mayQueue && c.busy[instance]) },
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -56,6 +56,9 @@
 	// MaxResponseHead bounds the head of a response in bytes, together with the
 	// informational responses before it; 0 means defaultMaxResponseHead.
 	MaxResponseHead int64
+	// Traffic returns the counter of the bytes that are sent to and received from an
+	// address, or nil if they are not counted. Traffic may be nil.
+	Traffic func(address string) *atomic.Int64
 }
 
 // defaultMaxResponseHead allows for the head of a target's response to grow on its
@@ -82,10 +85,14 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{
+			counted := &countingConn{
 				Conn:    conn,
 				maxHead: maxHead,
-			}, nil
+			}
+			if o.Traffic != nil {
+				counted.traffic = o.Traffic(address)
+			}
+			return counted, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    o.MaxConnections,
@@ -123,6 +130,15 @@
 	writeFailed atomic.Bool
 	// unanswered is set from the start of a request to the first byte of a response.
 	unanswered atomic.Bool
+	// traffic counts the bytes of several connections. It may be nil.
+	traffic *atomic.Int64
+}
+
+// addTraffic counts bytes that were sent or received.
+func (c *countingConn) addTraffic(n int) {
+	if c.traffic != nil {
+		c.traffic.Add(int64(n))
+	}
 }
 
 // Read implements io.Reader and counts the bytes read. It returns io.EOF only if the peer
@@ -130,6 +146,7 @@
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received.Add(int64(n))
+	c.addTraffic(n)
 	if n > 0 {
 		c.unanswered.Store(false)
 	}
@@ -179,6 +196,7 @@
 	defer c.pendingWrites.Add(-1)
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	c.addTraffic(n)
 	if err != nil {
 		c.writeFailed.Store(true)
 	}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -261,6 +261,9 @@
 	idleTimeout time.Duration
 	// SentBytes and ReceivedBytes count the bytes sent and received on all connections.
 	SentBytes, ReceivedBytes atomic.Int64
+	// Traffic returns the counter of the bytes that are sent to and received from an
+	// address, or nil if they are not counted. Traffic may be nil.
+	Traffic func(address string) *atomic.Int64
 
 	mu    sync.Mutex
 	conns map[string]*clientConn
@@ -354,7 +357,13 @@
 		authenticated: authenticated,
 		authDeadline:  time.Now().Add(defaultHelloTimeout),
 	}
-	stream := jsonrpc2.NewBufferedStream(countBytes(tcpConn, &c.SentBytes, &c.ReceivedBytes), codec)
+	counted := countBytes(tcpConn, &c.SentBytes, &c.ReceivedBytes)
+	if c.Traffic != nil {
+		if t := c.Traffic(address); t != nil {
+			counted = countBytes(counted, t, t)
+		}
+	}
+	stream := jsonrpc2.NewBufferedStream(counted, codec)
 	conn := jsonrpc2.NewConn(context.Background(), stream, rejectAll{}, discardLog)
 	if err := conn.Call(ctx, helloMethod, helloParams{Key: c.key}, nil); err != nil {
 		_ = conn.Close()
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -74,6 +74,10 @@
 	// list yet.
 	RetryRatio float64 `json:"retryratio"`
 	RetrySlack float64 `json:"retryslack"`
+	// StayTargets is the number of targets of a service in the daemon's data centre from
+	// which on its requests leave that only if they would miss their objective there. 0
+	// means that targets elsewhere are only treated as slower by a fixed time.
+	StayTargets int `json:"stay,omitempty"`
 	// MemoryMiB is the memory limit of the process in MiB.
 	MemoryMiB int `json:"memory"`
 }
@@ -89,6 +93,9 @@
 	if s.Heartbeat.Duration <= 0 || s.GracePeriod.Duration <= 0 {
 		group.Add(fmt.Errorf("sidecar: want a positive heartbeat and grace"))
 	}
+	if s.StayTargets < 0 {
+		group.Add(fmt.Errorf("sidecar.stay: want at least 0"))
+	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.MemoryMiB <= 0 {
 		group.Add(fmt.Errorf("sidecar: want retry ratio and slack of at least 0, and positive memory"))
 	}
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -29,6 +29,7 @@
 		{"all errors reported", `{}`, "dc"},
 		{"invalid log level", `{"name":"a","dc":"d",` + listen + `,` + platformAndKey + `,"log":{"level":"loud"}}`, "log.level"},
 		{"negative limit", `{"name":"a","dc":"d",` + listen + `,` + platformAndKey + `,"limits":{"queue":-1}}`, "negative"},
+		{"negative number of targets", `{"name":"a","dc":"d",` + listen + `,` + platformAndKey + `,"sidecar":{"stay":-1}}`, "sidecar.stay"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -127,6 +127,8 @@
 	retryBudget      *dispatcher.RetryBudget
 	// quarantine identifies the requests that crash targets.
 	quarantine *quarantiner.Quarantiner
+	// zones observes what is sent to other data centres.
+	zones zoneObserver
 
 	// view is the state by which requests are routed.
 	view atomic.Pointer[view]
@@ -298,6 +300,7 @@
 	}
 	d.retryBudget.SetLimits(s.Sidecar.RetryRatio, s.Sidecar.RetrySlack)
 	d.quarantine = quarantiner.New(o.Clock)
+	d.observeZones()
 	d.gate = &admitter.Gate{
 		Clock:       o.Clock,
 		Closed:      d.admissionClosed,
@@ -341,6 +344,7 @@
 			MaxConnections: peerConnections,
 			Dial:           peerDialTimeout,
 			Idle:           peerIdleTimeout,
+			Traffic:        d.attemptTraffic,
 		}),
 		Memory:      d.newMemory(peerResponseMemoryShare),
 		OnSilent:    d.markUnreachable,
