chooser: let single requests leave a zone whose targets turn them away

Change: a request that two targets of the zone have turned away may leave if the others there are short and those elsewhere are not. The chooser's random numbers are a seam, so the fleets of the tests repeat.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -116,6 +116,8 @@
 // Chooser chooses between targets. It is safe for concurrent use.
 type Chooser struct {
 	Clock timekeeper.Clock
+	// Random returns a pseudo-random number in [0, 1). The Chooser serializes its calls.
+	Random func() float64
 	// StayTargets is the number of targets in the own zone from which on requests leave it
 	// only as package spiller decides. If it is 0, or if there are fewer, targets of other
 	// zones cost spiller.TransferCost more, and nothing else keeps requests from them.
@@ -140,6 +142,7 @@
 func New(clock timekeeper.Clock) *Chooser {
 	return &Chooser{
 		Clock:       clock,
+		Random:      rand.Float64,
 		states:      map[string]*targetState{},
 		serviceTime: map[string]time.Duration{},
 
@@ -160,6 +163,8 @@
 	// reads such bodies one after the other.
 	Bytes      int
 	AwaitsTurn bool
+	// Attempts is the number of earlier attempts of the request.
+	Attempts int
 	// Exclude reports whether a target must not be chosen; nil excludes none.
 	Exclude func(instance string) bool
 }
@@ -203,7 +208,7 @@
 			use = g.meanUse()
 		}
 		estimate := c.cost(c.pool[i], t, r, now, use)
-		g.add(t, estimate, estimate+time.Duration(float64(estimate)*jitter*rand.Float64()), c.pool[i].loadAt)
+		g.add(t, estimate, estimate+time.Duration(float64(estimate)*jitter*c.Random()), c.pool[i].loadAt)
 	}
 	best := own.merge(other)
 	if stays {
--- a/internal/chooser/zone.go
+++ b/internal/chooser/zone.go
@@ -16,9 +16,9 @@
 	Before, After spiller.Spill
 }
 
-// maxTurnedAway is the number of targets of the own zone that may turn a request away before
-// it leaves the zone like the share of the rule's requests that is due.
-const maxTurnedAway = 2
+// ownAttempts is the number of attempts after which a request may leave the own zone beyond
+// the share that does.
+const ownAttempts = 2
 
 // group holds the targets of the own zone or those of the others.
 type group struct {
@@ -138,13 +138,14 @@
 		Rule:    r.Rule,
 		Before:  s.spill,
 	}
+	demand := spiller.Demand{
+		Objective:   r.Objective,
+		ServiceTime: c.meanServiceTime(r.Rule),
+		Bytes:       r.Bytes + c.responseBytes[r.Rule],
+	}
 	// The best target of a request that has been turned away does not stand for its zone.
-	if own.excluded == 0 && other.excluded == 0 {
-		s.spill = s.spill.With(now, spiller.Demand{
-			Objective:   r.Objective,
-			ServiceTime: c.meanServiceTime(r.Rule),
-			Bytes:       r.Bytes + c.responseBytes[r.Rule],
-		}, ownZone, otherZone)
+	if r.Attempts == 0 && own.excluded == 0 && other.excluded == 0 {
+		s.spill = s.spill.With(now, demand, ownZone, otherZone)
 	}
 	choice.After = s.spill
 	s.credit = min(1, s.credit+s.spill.Share)
@@ -155,8 +156,11 @@
 	case !ownZone.Usable:
 		chosen, choice.Left, choice.Forced = other, true, true
 	case !otherZone.Usable:
-	case (s.credit >= 1 || (own.excluded >= maxTurnedAway && s.spill.Share > 0)) && other.cost < own.cost:
-		s.credit = max(0, s.credit-1)
+	case other.cost >= own.cost:
+	case s.credit >= 1:
+		s.credit--
+		chosen, choice.Left = other, true
+	case r.Attempts >= ownAttempts && demand.MayLeave(ownZone.Expected, otherZone.Expected):
 		chosen, choice.Left = other, true
 	}
 	if chosen.size == 1 {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -270,6 +270,7 @@
 		Rule:       c.rule.Name,
 		Service:    c.service,
 		Objective:  c.rule.Objective,
+		Attempts:   c.attempts,
 		Bytes:      len(c.request.Body),
 		AwaitsTurn: carrier.AwaitsTurn(len(c.request.Body)),
 		Exclude:    func(instance string) bool { return c.excluded[instance] || (!c.mayQueue && c.busy[instance]) },
--- a/internal/spiller/spiller.go
+++ b/internal/spiller/spiller.go
@@ -15,8 +15,11 @@
 	// below which fewer do. The rest is left for requests that take longer than the mean.
 	highSlack = 0.15
 	lowSlack  = 0.05
-	// otherSlack is the fraction of that time above which the other zones count as short.
-	otherSlack = 0.5
+	// shortSlack is the fraction of that time above which the other zones count as short.
+	// turnedAwaySlack is the one above which the own zone does for a request that targets
+	// there have turned away.
+	shortSlack      = 0.5
+	turnedAwaySlack = 0.33
 	// rate is the largest change of the share per second, which applies if a response time
 	// is beyond its bound by the whole time between the service time and the objective.
 	// minRate is the smallest change.
@@ -63,6 +66,13 @@
 	return d.ServiceTime + time.Duration(fraction*float64(d.slack()))
 }
 
+// MayLeave reports whether a request that targets of its own zone have turned away may leave
+// it, by the expected response times at the best of the others there and elsewhere: if the
+// own zone is short and the other zones are not.
+func (d Demand) MayLeave(own, other time.Duration) bool {
+	return own > d.bound(turnedAwaySlack) && other <= d.bound(shortSlack)
+}
+
 // change returns the change of a share within a time for a response time that is beyond its
 // bound by excess.
 func (d Demand) change(excess, within time.Duration) float64 {
@@ -111,7 +121,7 @@
 	s.Other += time.Duration(weight * float64(other.Expected-s.Other))
 	high, low := d.bound(highSlack), d.bound(lowSlack)
 	there := s.Other + TransferCost(d.Bytes)
-	excess := max(there-s.Own, low-s.Own, s.Other-d.bound(otherSlack))
+	excess := max(there-s.Own, low-s.Own, s.Other-d.bound(shortSlack))
 	step := min(elapsed, maxStep)
 	switch {
 	case excess > 0:
