--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -332,6 +332,9 @@
 	pool := d.Pool(c.service)
 	req := chooser.Request{
 		Rule:       c.rule.Name,
+		Service:    c.service,
+		Objective:  c.rule.Objective,
+		Attempts:   c.attempts,
 		Bytes:      c.request.Body.Len(),
 		AwaitsTurn: carrier.AwaitsTurn(c.request.Body.Len()),
 		Exclude:    func(instance string) bool { return c.excluded[instance] || (!c.mayQueue && c.busy[instance]) },
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -74,6 +74,10 @@
 	// list yet.
 	RetryRatio float64 `json:"retryratio"`
 	RetrySlack float64 `json:"retryslack"`
+	// StayTargets is the number of targets of a service in the daemon's data centre from
+	// which on its requests leave that only if they would miss their objective there. 0
+	// means that targets elsewhere are only treated as slower by a fixed time.
+	StayTargets int `json:"stay,omitempty"`
 	// RevokeWithin is the time after which a key that the operators have removed must be
 	// refused everywhere, also by daemons that have lost touch with the store. They refuse
 	// all keys when that time has passed since the plan was last known to be the newest. 0
@@ -112,6 +116,9 @@
 	if s.Files < 0 || s.Pause.Duration < 0 {
 		group.Add(fmt.Errorf("sidecar: want files and pause of at least 0"))
 	}
+	if s.StayTargets < 0 {
+		group.Add(fmt.Errorf("sidecar.stay: want at least 0"))
+	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 || s.MemoryMiB <= 0 {
 		group.Add(fmt.Errorf("sidecar: want retry ratio and slack of at least 0, and positive memory"))
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -145,6 +145,8 @@
 	quarantine *quarantiner.Quarantiner
 	// usage is the daemon's part in the duty to report usage, or nil.
 	usage *usageDuty
+	// zones observes what is sent to other data centres.
+	zones zoneObserver
 
 	// view is the state by which requests are routed.
 	view atomic.Pointer[view]
@@ -326,6 +328,7 @@
 		}
 	}
 	d.throttler = &throttler.Throttler{Clock: o.Clock}
+	d.observeZones()
 	d.gate = &admitter.Gate{
 		Clock:       o.Clock,
 		Closed:      d.admissionClosed,
@@ -375,6 +378,7 @@
 			MaxConnections: peerConnections,
 			Dial:           peerDialTimeout,
 			Idle:           peerIdleTimeout,
+			Traffic:        d.attemptTraffic,
 		}),
 		Memory:      d.newMemory(peerResponseMemoryShare),
 		OnSilent:    d.markUnreachable,
