Merge choice: what staying in the zone changes for callers

Calls of targets choose among all zones: their slack is short, and work half done is lost with them. Requests whose clients can't come back do so as before.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -333,12 +333,14 @@
 	req := chooser.Request{
 		Rule:       c.rule.Name,
 		Service:    c.service,
-		Objective:  c.rule.Objective,
 		Attempts:   c.attempts,
 		Bytes:      c.request.Body.Len(),
 		AwaitsTurn: carrier.AwaitsTurn(c.request.Body.Len()),
 		Exclude:    func(instance string) bool { return c.excluded[instance] || (!c.mayQueue && c.busy[instance]) },
 	}
+	if c.patient && !c.nested {
+		req.Objective = c.rule.Objective
+	}
 	if first {
 		c.canary = len(pool.Canary) > 0 && d.useCanary(c.service, pool.Share)
 	}
