--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -39,20 +39,38 @@
 	Left func() time.Duration
 }
 
+// Proof states for how long keys can be relied on.
+type Proof struct {
+	// limited means that it is only for the time left, which is 0 or less if keys can't be
+	// relied on.
+	limited bool
+	left    time.Duration
+}
+
+// Proof returns the proof that counts for plans that are read after the call. A plan that was
+// read before could be older than what is proven.
+func (a *Authenticator) Proof() Proof {
+	if a.Left == nil {
+		return Proof{}
+	}
+	return Proof{
+		limited: true,
+		left:    a.Left(),
+	}
+}
+
 // Authenticate returns the customer of a request under a plan and one of its rules, with the
-// priority of the request. A plan without keys makes every request one of no customer.
-func (a *Authenticator) Authenticate(p *matcher.Plan, r *matcher.Rule, key string) (id Identity, priority int, err error) {
+// priority of the request. The plan was read after the proof. A plan without keys makes every
+// request one of no customer.
+func Authenticate(proof Proof, p *matcher.Plan, r *matcher.Rule, key string) (id Identity, priority int, err error) {
 	if p.Keys == nil {
 		return Identity{}, r.Priority, nil
 	}
-	var left time.Duration
-	if a.Left != nil {
-		if left = a.Left(); left <= 0 {
-			if r.Public {
-				return Identity{}, matcher.Holder{}.Priority(r), nil
-			}
-			return Identity{}, 0, ErrUnproven
+	if proof.limited && proof.left <= 0 {
+		if r.Public {
+			return Identity{}, matcher.Holder{}.Priority(r), nil
 		}
+		return Identity{}, 0, ErrUnproven
 	}
 	holder, ok := p.Keys.Holder(key)
 	switch {
@@ -61,7 +79,7 @@
 			Customer: holder.Customer,
 			KeyID:    holder.KeyID,
 			Plan:     p.Version,
-			Valid:    left,
+			Valid:    proof.left,
 		}, holder.Priority(r), nil
 	case r.Public:
 		return Identity{}, matcher.Holder{}.Priority(r), nil
--- a/internal/authenticator/authenticator_test.go
+++ b/internal/authenticator/authenticator_test.go
@@ -49,7 +49,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			a := authenticator.Authenticator{Left: func() time.Duration { return test.left }}
-			id, priority, err := a.Authenticate(test.plan, &matcher.Rule{Priority: 2, Public: test.public}, test.key)
+			id, priority, err := authenticator.Authenticate(a.Proof(), test.plan, &matcher.Rule{Priority: 2, Public: test.public}, test.key)
 			if err != test.err || id.Customer != test.customer || priority != test.priority {
 				t.Errorf("got %+v, priority %d, error %v; want customer %q, priority %d, error %v", id, priority, err, test.customer, test.priority, test.err)
 			}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -211,7 +211,7 @@
 		g.add(t, estimate, estimate+time.Duration(float64(estimate)*jitter*c.Random()), c.pool[i].loadAt)
 	}
 	best := own.merge(other)
-	if stays {
+	if stays && best.size > 0 {
 		best = c.chooseZone(own, other, r, now)
 	}
 	if best.size == 0 {
--- a/internal/chooser/zone_test.go
+++ b/internal/chooser/zone_test.go
@@ -289,3 +289,18 @@
 		}
 	}
 }
+
+// TestAllTargetsExcluded checks that there is no choice if all targets are excluded, also of a
+// service whose requests stay in the zone.
+func TestAllTargetsExcluded(t *testing.T) {
+	c, _ := newStayingChooser()
+	choice, ok := c.Pick(zoneTargets(), chooser.Request{
+		Rule:      "status",
+		Service:   "desk",
+		Objective: time.Second,
+		Exclude:   func(string) bool { return true },
+	})
+	if ok {
+		t.Errorf("got the choice %+v, want none", choice)
+	}
+}
--- a/internal/dispatcher/credentials.go
+++ b/internal/dispatcher/credentials.go
@@ -14,15 +14,15 @@
 // authenticate sets the customer and the priority of a request and removes its key from the
 // headers to forward. It is called before each attempt, since keys may be removed meanwhile.
 func (d *Dispatcher) authenticate(c *call) error {
-	plan := d.Plan()
-	if plan.Keys == nil {
+	if d.Plan().Keys == nil {
 		c.priority = c.rule.Priority
 		return nil
 	}
 	c.header = d.WithoutCredentials(c.request.Header)
 	c.identified = timekeeper.System{}.Read()
+	proof := d.Authenticator.Proof()
 	var err error
-	c.identity, c.priority, err = d.Authenticator.Authenticate(plan, c.rule, c.client.Key)
+	c.identity, c.priority, err = authenticator.Authenticate(proof, d.Plan(), c.rule, c.client.Key)
 	if err == authenticator.ErrUnproven {
 		c.retryAfter = unprovenRetryAfter
 	}
--- a/internal/dispatcher/credentials_test.go
+++ b/internal/dispatcher/credentials_test.go
@@ -151,3 +151,16 @@
 		}
 	}
 }
+
+// TestPlanIsReadAfterProof guards against a removed key that is accepted by a plan that was
+// read before the proof of its successor.
+func TestPlanIsReadAfterProof(t *testing.T) {
+	r, removeKey := newKeyedHarness(t, false, answered(200))
+	r.Authenticator.Left = func() time.Duration {
+		removeKey() // the next plan takes effect, and is what the proof is of
+		return time.Second
+	}
+	if resp := r.call("/pay/1", "Key: "+secretKey+"\r\n"); resp.Status != 401 || len(r.sent) > 0 {
+		t.Errorf("status %d after %d attempts, want 401 without one", resp.Status, len(r.sent))
+	}
+}
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -40,7 +40,7 @@
 	headerFactor    = 2
 	// writeSize is the size of the parts in which responses are written.
 	writeSize = 64 << 10
-	// writeTimeout bounds the time to write one response.
+	// writeTimeout bounds the time to write a part of a response, of writeSize bytes.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout is how long the server reads on after it has announced the
 	// close to the client. Unread bytes would make the close reset the connection
@@ -428,6 +428,7 @@
 	pause := cmp.Or(c.server.Pause, DefaultPause)
 	c.setReadDeadline(time.Now().Add(pause))
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && !c.responsePending() {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, 0, err
 		}
@@ -436,6 +437,7 @@
 	body, err = held.ReadBody(req.Body, req.ContentLength, limits.BodyBytes, func(bytes int) {
 		if arrived += bytes; arrived >= progressBytes {
 			arrived = 0
+			held.Advance()
 			c.setReadDeadline(time.Now().Add(pause))
 		}
 	})
@@ -577,7 +579,6 @@
 	if x.request != nil {
 		out.Request = x.request.Request
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w := bufio.NewWriterSize(&responseWriter{
 		conn: c.conn,
 		held: x.held,
@@ -601,6 +602,7 @@
 func (w *responseWriter) Write(p []byte) (int, error) {
 	written := 0
 	for written < len(p) {
+		_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		n, err := w.conn.Write(p[written:min(len(p), written+writeSize)])
 		written += n
 		if err != nil {
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
 	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/elector"
+	"github.com/coltsfootlane/coltsfootlane/internal/forwarder"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 	"github.com/coltsfootlane/coltsfootlane/internal/ranker"
@@ -148,7 +149,7 @@
 			NewToken: uuid.NewString,
 		},
 		client: &http.Client{
-			Transport: &http.Transport{DisableKeepAlives: true},
+			Transport: newUsageTransport(),
 		},
 	}
 	u.settings.Store(&s)
@@ -168,6 +169,18 @@
 	}
 }
 
+// newUsageTransport returns the transport of reports. It resets the connection of a report
+// that is given up, since the kernel would send it again after the lease has ended.
+func newUsageTransport() http.RoundTripper {
+	t := forwarder.NewTransportWith(forwarder.TransportOptions{
+		MaxConnections: 1,
+		Dial:           controlTimeout,
+		Idle:           controlTimeout,
+	})
+	t.DisableKeepAlives = true
+	return t
+}
+
 // now returns the time of day that a jump of the machine's does not move.
 func (u *usageDuty) now() time.Time { return u.clock.At(u.read().Monotonic) }
 
--- a/internal/sidecar/keys.go
+++ b/internal/sidecar/keys.go
@@ -96,6 +96,9 @@
 // can again.
 func (d *Daemon) proofLeft() time.Duration {
 	left := d.attester.Left()
+	if d.planUnreadable.Load() {
+		left = 0
+	}
 	if proven := left > 0; d.unproven.Swap(!proven) == proven {
 		age, _ := d.attester.Age()
 		d.log.Warn("reliance on keys changed", "proven", proven, "age", age, "max", d.attester.MaxAge)
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -1,9 +1,7 @@
 package sidecar
 
 import (
-	"errors"
 	"net/http"
-	"net/textproto"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -84,9 +82,8 @@
 		return
 	}
 	d.incrementCounter("request.unread")
-	var malformed textproto.ProtocolError
-	if errors.As(err, &malformed) {
-		err = errMalformed // the text of a ProtocolError may contain a key
+	if status == http.StatusBadRequest && !receiver.Class.Has(err) {
+		err = errMalformed // the text of the parser's errors may contain a key
 	}
 	d.log.Warn("request not read", "status", status, "err", err)
 }
--- a/internal/sidecar/proofs_test.go
+++ b/internal/sidecar/proofs_test.go
@@ -1,9 +1,12 @@
 package sidecar
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +17,7 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/follower"
 	"github.com/coltsfootlane/coltsfootlane/internal/loader"
 	"github.com/coltsfootlane/coltsfootlane/internal/matcher"
+	"github.com/coltsfootlane/coltsfootlane/internal/storer"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
 	"github.com/coltsfootlane/coltsfootlane/pkg/parser"
 )
@@ -158,3 +162,41 @@
 		t.Errorf("with an old proof: %v, overdue %v; want %v, true", got, d.proofOverdue(), urgentWatch)
 	}
 }
+
+// TestUnreadablePlanRefusesKeys guards against keys that stay in use although a plan which
+// can't be read may have removed them.
+func TestUnreadablePlanRefusesKeys(t *testing.T) {
+	d := newProvenDaemon(t, "zilina-1", 5*time.Second, true)
+	d.attester.Confirm(d.steady.Read())
+	if d.proofLeft() <= 0 {
+		t.Fatal("a proven plan is not relied on")
+	}
+	unreadable := true
+	d.platform.DecodeOperator = func([]storer.Item) (Declaration, []error) {
+		return Declaration{PlanUnreadable: unreadable}, nil
+	}
+	d.applyOperator(follower.Copy{Revision: 2})
+	if left := d.proofLeft(); left > 0 {
+		t.Errorf("keys are relied on for %v beside an unreadable plan", left)
+	}
+	unreadable = false
+	d.applyOperator(follower.Copy{Revision: 3})
+	if d.proofLeft() <= 0 {
+		t.Error("keys are not relied on after a plan that can be read")
+	}
+}
+
+// TestKeyInMalformedRequestIsNotLogged guards against a client's key in the log.
+func TestKeyInMalformedRequestIsNotLogged(t *testing.T) {
+	d := newProvenDaemon(t, "zilina-1", 5*time.Second, true)
+	for _, text := range []string{"Api-Key: secret\r\n\r\n", "GET / HTTP/1.1\r\nApi-Key secret\r\n\r\n", "GET secret HTTP/1.1\r\n\r\n"} {
+		_, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err == nil {
+			t.Fatalf("%q is well-formed", text)
+		}
+		d.observeRejectedRequest(nil, http.StatusBadRequest, err)
+	}
+	if bytes.Contains(d.logs.Bytes(), []byte("secret")) {
+		t.Errorf("the log has a key:\n%s", d.logs.Bytes())
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -47,8 +47,10 @@
 
 // Declaration is the configuration that operators have declared.
 type Declaration struct {
-	// Plan is nil if no plan was declared.
-	Plan *matcher.Plan
+	// Plan is nil if no plan was declared. PlanUnreadable means that one was declared that
+	// can't be read.
+	Plan           *matcher.Plan
+	PlanUnreadable bool
 	// Rollouts holds the requested rollouts, by service.
 	Rollouts map[string]shifter.Rollout
 	// Evacuated holds the data centres that are evacuated. Their targets get no requests.
@@ -220,6 +222,8 @@
 	attester *attester.Attester
 	// unproven is set while no proof counts.
 	unproven atomic.Bool
+	// planUnreadable is set while the declared plan can't be read. It may have removed keys.
+	planUnreadable atomic.Bool
 	// eras holds the store's eras that the daemon has seen.
 	eras eraLog
 	// fetching holds the key prefixes for which a fetch after a relay update is in
--- a/internal/sidecar/view.go
+++ b/internal/sidecar/view.go
@@ -116,6 +116,7 @@
 	for _, err := range failures {
 		d.log.Error("operator record not decoded; the previous plan stays in force", "err", err)
 	}
+	d.planUnreadable.Store(declared.PlanUnreadable)
 	d.stateMu.Lock()
 	defer d.stateMu.Unlock()
 	d.applyDeclaration(declared)
