--- a/internal/chooser/zone.go
+++ b/internal/chooser/zone.go
@@ -113,7 +113,16 @@
 
 // stays reports whether requests leave the own zone only as package spiller decides.
 func (c *Chooser) stays(own group, r Request) bool {
-	return c.StayTargets > 0 && own.targets >= c.StayTargets && r.Objective > 0
+	return c.StayTargets > 0 && own.targets >= c.StayTargets && r.Objective > 0 && c.demand(r).Stays()
+}
+
+// demand describes a rule's requests to package spiller.
+func (c *Chooser) demand(r Request) spiller.Demand {
+	return spiller.Demand{
+		Objective:   r.Objective,
+		ServiceTime: c.meanServiceTime(r.Rule),
+		Bytes:       r.Bytes + c.responseBytes[r.Rule],
+	}
 }
 
 // chooseZone returns the group in which a request goes to the best target, or both groups
@@ -138,11 +147,7 @@
 		Rule:    r.Rule,
 		Before:  s.spill,
 	}
-	demand := spiller.Demand{
-		Objective:   r.Objective,
-		ServiceTime: c.meanServiceTime(r.Rule),
-		Bytes:       r.Bytes + c.responseBytes[r.Rule],
-	}
+	demand := c.demand(r)
 	// The best target of a request that has been turned away does not stand for its zone.
 	if r.Attempts == 0 && own.excluded == 0 && other.excluded == 0 {
 		s.spill = s.spill.With(now, demand, ownZone, otherZone)
--- a/internal/chooser/zone_test.go
+++ b/internal/chooser/zone_test.go
@@ -228,6 +228,20 @@
 	}
 }
 
+// TestShortObjective checks that a rule whose objective leaves little time to wait may use the
+// targets of all zones.
+func TestShortObjective(t *testing.T) {
+	c, _ := newStayingChooser()
+	targets := zoneTargets()
+	report(c, targets, true, fullLoad)
+	report(c, targets, false, idleLoad)
+	r := statusRequest
+	r.Objective = 200 * time.Millisecond
+	if choice, _ := c.Pick(targets, r); choice.SameZone {
+		t.Errorf("picked %s, want an idle target of the other zone", choice.Instance)
+	}
+}
+
 // TestFewTargetsInZone checks that fewer targets than StayTargets only have an advantage over
 // those of other zones.
 func TestFewTargetsInZone(t *testing.T) {
--- a/internal/spiller/spiller.go
+++ b/internal/spiller/spiller.go
@@ -66,6 +66,12 @@
 	return d.ServiceTime + time.Duration(fraction*float64(d.slack()))
 }
 
+// Stays reports whether requests are held back in their own zone: if the time that they may
+// wait there is worth the transfer.
+func (d Demand) Stays() bool {
+	return d.bound(highSlack)-d.ServiceTime >= TransferCost(0)
+}
+
 // MayLeave reports whether a request that targets of its own zone have turned away may leave
 // it, by the expected response times at the best of the others there and elsewhere: if the
 // own zone is short and the other zones are not.
