--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -35,7 +35,8 @@
 	deadline   time.Time
 	canary     bool
 	// patient means that the client has the time to come back after a rejection. nested means
-	// that the local target makes the request while it runs a patient one.
+	// that the local target makes the request while it runs another one, under a plan with
+	// patient rules.
 	patient, nested bool
 	// late means that the client has waited for longer than its objective already.
 	late bool
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -239,7 +239,7 @@
 	c.patient = isPatient(rule)
 	if c.client.Parent != "" {
 		if running, patient := d.IsRunning(c.client.Parent); running {
-			c.nested = patient
+			c.nested = c.plan.Patience >= patientFactor
 			c.patient = c.patient && patient
 		}
 	}
@@ -338,7 +338,7 @@
 		AwaitsTurn: carrier.AwaitsTurn(c.request.Body.Len()),
 		Exclude:    func(instance string) bool { return c.excluded[instance] || (!c.mayQueue && c.busy[instance]) },
 	}
-	if c.patient && !c.nested {
+	if c.plan.Patience >= patientFactor {
 		req.Objective = c.rule.Objective
 	}
 	if first {
--- a/internal/dispatcher/room.go
+++ b/internal/dispatcher/room.go
@@ -31,7 +31,7 @@
 
 // isPatient reports whether a rule's clients have the time to come back after a rejection.
 func isPatient(r *matcher.Rule) bool {
-	return r.Objective > 0 && float64(r.Timeout) >= patientFactor*float64(r.Objective)
+	return r.Patience() >= patientFactor
 }
 
 // limitsRejections reports whether the request is rejected after maxRejections. A nested
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -48,6 +48,14 @@
 	Public bool
 }
 
+// Patience returns the ratio of the rule's timeout to its objective, or 0 if it has none.
+func (r Rule) Patience() float64 {
+	if r.Objective <= 0 {
+		return 0
+	}
+	return float64(r.Timeout) / float64(r.Objective)
+}
+
 // Service holds what operators declare about a service's targets.
 type Service struct {
 	Name string
@@ -70,6 +78,9 @@
 	Version  uint64
 	Limits   Limits
 	Services map[string]Service
+	// Patience is the largest ratio of a rule's timeout to its objective, over the rules that
+	// have one. Clients of such a rule have the time to come back after a rejection.
+	Patience float64
 	// Keys is nil if requests need no key.
 	Keys  *KeySet
 	hosts map[string][]Rule
@@ -90,6 +101,9 @@
 		sorted := slices.Clone(rules)
 		slices.SortStableFunc(sorted, func(a, b Rule) int { return len(b.Prefix) - len(a.Prefix) })
 		p.hosts[strings.ToLower(host)] = sorted
+		for _, r := range rules {
+			p.Patience = max(p.Patience, r.Patience())
+		}
 	}
 	return p
 }
