--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -34,7 +34,8 @@
 // go first: if one fails, the work of the target that makes it is lost too. Late requests of
 // a priority go last, since otherwise all others would be late too while there are too few
 // slots. Patient ones go in the order of their objectives, and the rest in that of arrival.
-// Requests of customers go in the order of their turns instead.
+// Requests of customers go in the order of their turns instead, so that the order is not
+// strict where only some are of customers.
 func (r Request) precedes(other Request, turn, otherTurn float64) bool {
 	switch {
 	case r.Nested != other.Nested:
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -15,7 +15,8 @@
 )
 
 // Headers of attempts and of their responses, in addition to those of package
-// forwarder. Durations are in microseconds.
+// forwarder. Durations are in microseconds. A patient attempt has a lateHeader, also if it is
+// not late. keyIDHeader identifies the client's key without revealing it.
 const (
 	instanceHeader       = "Coltsfoot-Instance"
 	idHeader             = "Coltsfoot-Id"
--- a/internal/dispatcher/room.go
+++ b/internal/dispatcher/room.go
@@ -83,7 +83,7 @@
 }
 
 // mayAsk reports whether a request may ask for a slot. A request whose client has less time
-// left than the rule allows always may, since it hardly comes back.
+// left than the rule allows, or states no time, always may, since it hardly comes back.
 func (d *Dispatcher) mayAsk(c *call) bool {
 	if !c.limitsRejections() || c.client.TimeLeft < c.rule.Timeout {
 		return true
--- a/internal/receiver/connection.go
+++ b/internal/receiver/connection.go
@@ -114,7 +114,7 @@
 func (c *connection) serve() {
 	defer c.server.removeConnection(c)
 	defer c.conn.Close()
-	defer c.held.Release()
+	defer c.held.Release() // the account must not close the connection while it ends
 	if c.held.Grow(connectionBytes) != nil {
 		c.cancel()
 		c.server.refused.Add(1)
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -92,8 +92,8 @@
 	// Pause is the longest time in which progressBytes of a body, or its end, must
 	// arrive; 0 means DefaultPause.
 	Pause time.Duration
-	// MaxConnections bounds the open connections; 0 means no bound. Beyond it, one is
-	// closed that has no request, or one that has not arrived.
+	// MaxConnections bounds the open connections; 0 means no bound. Beyond it, one whose
+	// request has stopped arriving is closed, or else one that has no request.
 	MaxConnections int
 	// refused counts the connections that were closed when they were accepted.
 	refused atomic.Int64
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -184,8 +184,9 @@
 // now returns the time of day that a jump of the machine's does not move.
 func (u *usageDuty) now() time.Time { return u.clock.At(u.read().Monotonic) }
 
-// beforeForward is called before an attempt is forwarded to the target. It counts the attempt if
-// it belongs to a customer, until the target refuses it.
+// beforeForward is called before an attempt is forwarded to the target. It checks the
+// customer's key and the quarantine, and counts the attempt as running and, if it belongs to a
+// customer, as usage, until the target refuses it.
 func (d *Daemon) beforeForward(a *carrier.Attempt) (connected func(), done func(r deliverer.Result, connectionLost bool), err error) {
 	checkedConnected, checkedDone, err := d.trackRunning(a)
 	u := d.usage
