--- a/internal/allocator/allocator_test.go
+++ b/internal/allocator/allocator_test.go
@@ -157,7 +157,7 @@
 }
 
 // TestReadBody reads bodies of all kinds of sizes, and checks that the account has room for
-// them alone.
+// one body at a time only.
 func TestReadBody(t *testing.T) {
 	for _, size := range []int{0, 1, 4095, 4096, 4097, 100_000, 64 << 20} {
 		data := bytes.Repeat([]byte("0123456789abcde\n"), size/16+1)[:size]
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -673,7 +673,7 @@
 }
 
 // call makes a call to the platform and returns its status, and the time after which the
-// platform wants the next one.
+// platform accepts the next call (Retry-After).
 func (u *usageDuty) call(r *http.Request) (status int, retryAfter time.Duration, err error) {
 	resp, err := u.client.Do(r)
 	if err != nil {
--- a/internal/soaker/crowd_test.go
+++ b/internal/soaker/crowd_test.go
@@ -382,7 +382,7 @@
 }
 
 // TestCrowdThroughAnotherDaemon sends whole bodies to a daemon with much memory, which passes
-// them on to one with little.
+// them on to a daemon with little memory.
 func TestCrowdThroughAnotherDaemon(t *testing.T) {
 	c := startCrowd(t, crowdFiles)
 	c.node.backend.SetSlots(24)
--- a/internal/soaker/keys.go
+++ b/internal/soaker/keys.go
@@ -18,10 +18,10 @@
 	keyPrefix = "/k/"
 	// keptKey is the key that no configuration removes.
 	keptKey = "key-that-is-kept"
-	// intruderPause is the time between two requests with removed keys to a daemon, and
-	// intruderID begins their IDs.
-	intruderPause = 200 * time.Millisecond
-	intruderID    = "intruder-"
+	// removedKeyInterval is the interval of requests with removed keys to a daemon, and
+	// removedKeyID is the prefix of their IDs.
+	removedKeyInterval = 200 * time.Millisecond
+	removedKeyID       = "removed-key-"
 )
 
 // keptRoute is the route of requests with the key that is kept.
@@ -95,7 +95,7 @@
 		if key, ok := s.removedKeys.latest(); ok {
 			callCtx, cancel := context.WithTimeout(ctx, time.Second)
 			_, _ = c.Do(callCtx, emulator.Call{
-				ID:      fmt.Sprint(intruderID, n.settings.Name, "-", i),
+				ID:      fmt.Sprint(removedKeyID, n.settings.Name, "-", i),
 				Path:    keyPrefix + "x",
 				Key:     key,
 				Timeout: time.Second,
@@ -103,7 +103,7 @@
 			cancel()
 		}
 		select {
-		case <-time.After(intruderPause):
+		case <-time.After(removedKeyInterval):
 		case <-ctx.Done():
 		}
 	}
@@ -134,7 +134,7 @@
 
 // checkRemovedKeys records a violation for each request with a removed key that reached a target.
 func (s *soak) checkRemovedKeys() {
-	for _, id := range s.ledger.arrivedIDs(intruderID) {
+	for _, id := range s.ledger.arrivedIDs(removedKeyID) {
 		s.ledger.AddViolation("keys: request %s was sent over %v after its key had been removed, and reached a target", id, revokeWithin)
 	}
 }
