--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -193,6 +193,9 @@
 			for end := time.Now().Add(crowdWait); time.Now().Before(end) && s.killed(n.options.name) == kills; {
 				time.Sleep(20 * time.Millisecond)
 			}
+			if len(conns) < crowdClients && s.killed(n.options.name) == kills {
+				return false, fmt.Errorf("only %d clients are connected", len(conns))
+			}
 			m.sendOrdinary(n, fmt.Sprintf("during-%s-%d", n.options.name, round))
 			for _, c := range conns {
 				_ = c.Close()
