--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -33,6 +33,7 @@
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(r *recorder, trouble bool) (broken bool, err error){
 	"queued":  runQueued,
+	"unread":  runUnread,
 	"leave":   runLeave,
 	"trickle": runTrickle,
 	"crowd":   runCrowd,
