--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -209,6 +209,7 @@
 			}
 		}
 	}
+	m.recordRuns()
 	ended := 0
 	for _, n := range m.nodes {
 		kills := s.killed(n.options.name)
--- a/review/standin-2/leave.go
+++ b/review/standin-2/leave.go
@@ -84,6 +84,7 @@
 		leaving.backend.Crash()
 	}
 	group.Wait()
+	m.recordRuns()
 	late := 0
 	for _, a := range leaving.backend.Arrivals() {
 		after := a.At.Sub(confirmed)
--- a/review/standin-2/mesh.go
+++ b/review/standin-2/mesh.go
@@ -277,6 +277,19 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// recordRuns records how many requests ran at each target.
+func (m *mesh) recordRuns() {
+	for _, n := range m.nodes {
+		runs := 0
+		for _, a := range n.backend.Arrivals() {
+			if a.Ran {
+				runs++
+			}
+		}
+		m.record.printf("%d requests ran at the target beside %s", runs, n.options.name)
+	}
+}
+
 // close ends all processes and servers. If keep is set, the logs stay.
 func (m *mesh) close(keep bool) {
 	m.stop()
--- a/review/standin-2/trickle.go
+++ b/review/standin-2/trickle.go
@@ -132,6 +132,7 @@
 	cancel()
 	time.Sleep(time.Second)
 	m.sendOrdinary(entry, "after")
+	m.recordRuns()
 	r.printf("the daemon was not ready at %d looks; for %.1f s no request of %d consumers on a new connection was answered", unready, longest.Seconds(), consumers)
 	return unready == 0 && longest >= contactTime, nil
 }
--- a/review/standin-2/unread.go
+++ b/review/standin-2/unread.go
@@ -135,6 +135,7 @@
 			lost++
 		}
 	}
+	m.recordRuns()
 	r.printf("a-1 uses %d MiB", memoryOf(m.nodes[0].pid()))
 	r.printf("of %[2]d requests on kept connections, %[1]d got no byte of an answer; %[3]d of these ran", len(unanswered), unreadClients*unreadDepth, lost)
 	return lost > maxLost, nil
