dispatcher, carrier: a stop recalls requests that wait elsewhere (LOST)

Cause: from SIGTERM on, new requests whose deadline lies after the end of the shutdown are rejected, but nothing takes back an attempt that was sent before. It stays in the queue of the other daemon, or waits for a connection to it, until the process ends.

Change: each attempt has a Handoff, which is either begun or recalled, never both. The sender begins it with the first byte that lets the request run: the head of the attempt, or its body where that is sent only after 100 Continue. The daemon of the target begins its own when the request has a connection to the target. A daemon that stops recalls the attempts whose requests can't be answered before it ends: at once those that it has not begun, and by a call to the daemons of the targets the others. Those are answered 503 with a Retry-After that reaches past the end of the process. Attempts that may have run are left alone. The gate's queue is checked at SIGTERM, and not up to a second later.

The gauges order.running and order.queued show where requests wait.

--- a/internal/admitter/load.go
+++ b/internal/admitter/load.go
@@ -29,6 +29,13 @@
 	return l
 }
 
+// Queued returns the number of requests that wait for a slot.
+func (g *Gate) Queued() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.queue)
+}
+
 // Running returns the number of requests that occupy a slot.
 func (g *Gate) Running() int {
 	g.mu.Lock()
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -68,7 +68,8 @@
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	var responded atomic.Bool
-	r, body := c.newRequest(address, a)
+	handoff := handoffOf(ctx)
+	r, body := c.newRequest(address, a, handoff)
 	silenceTimer := time.AfterFunc(silenceTimeout, func() {
 		if responded.Load() {
 			return
@@ -92,9 +93,14 @@
 			return nil
 		},
 	})
-	resp, err := forwarder.RoundTrip(c.Transport, r.WithContext(ctx))
+	resp, err := forwarder.RoundTripIf(c.Transport, r.WithContext(ctx), func() error {
+		if !expectsContinue(a) && !handoff.Begin() {
+			return forwarder.ErrRecalled
+		}
+		return nil
+	})
 	if err != nil {
-		return nil, c.sendFailure(ctx, err, expectsContinue(a) && !body.Started())
+		return nil, c.sendFailure(ctx, err, handoff.Recalled() || (expectsContinue(a) && !body.Started()))
 	}
 	responded.Store(true)
 	defer func() { _ = resp.Body.Close() }()
@@ -108,7 +114,7 @@
 			Load:     readLoad(resp.Header),
 		}
 	case err != nil:
-		return nil, c.sendFailure(ctx, classifier.NewFailure(classifier.MayHaveRun, "answer broke off between daemons", err), false)
+		return nil, c.sendFailure(ctx, classifier.NewFailure(classifier.MayHaveRun, "answer broke off between daemons", err), handoff.Recalled())
 	}
 	targetResponse, err := readTargetResponse(resp, data, time.Since(began))
 	if err != nil {
@@ -154,11 +160,11 @@
 func AwaitsTurn(bytes int) bool { return bytes >= expectBytes }
 
 // sendFailure returns the Failure of an attempt that the daemon has not responded
-// to in full. If bodyNotSent is set, the request has not run.
-func (c *Client) sendFailure(ctx context.Context, err error, bodyNotSent bool) error {
+// to in full. If notBegun is set, the request has not run.
+func (c *Client) sendFailure(ctx context.Context, err error, notBegun bool) error {
 	f := NewFailure(err)
 	verdict, reason := f.Verdict, f.Reason
-	if bodyNotSent {
+	if notBegun {
 		verdict = classifier.NotRun
 	}
 	if context.Cause(ctx) == errSilent {
@@ -170,13 +176,16 @@
 	}
 }
 
-func (c *Client) newRequest(address string, a *Attempt) (*http.Request, *forwarder.Body) {
+func (c *Client) newRequest(address string, a *Attempt, handoff *forwarder.Handoff) (*http.Request, *forwarder.Body) {
 	h := forwarder.ForwardedHeader(a.Header)
 	a.writeHeader(h, c.Key)
 	if expectsContinue(a) {
 		h.Set("Expect", "100-continue")
 	}
-	body := &forwarder.Body{Reader: a.Body.Reader()}
+	body := &forwarder.Body{
+		Reader:  a.Body.Reader(),
+		Handoff: handoff,
+	}
 	return &http.Request{
 		Method:        a.Method,
 		URL:           a.URL(address),
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -28,6 +28,7 @@
 	Account *allocator.Account
 
 	bodyLimiter bodyLimiter
+	unsent      unsentAttempts
 }
 
 // acknowledgeKey is the context key of the function that acknowledges an attempt.
@@ -70,7 +71,9 @@
 		a.Body = data
 		return connection.SetReadDeadline(time.Time{})
 	}
-	ctx := context.WithValue(r.Context(), acknowledgeKey{}, func() {
+	ctx, handoff, done := s.unsent.add(r.Context(), a.ID)
+	defer done()
+	ctx = context.WithValue(ctx, acknowledgeKey{}, func() {
 		if !acknowledged {
 			acknowledged = true
 			w.WriteHeader(http.StatusProcessing)
@@ -91,6 +94,9 @@
 	setDurationHeader(h, processingTimeHeader, time.Since(began))
 	if err != nil {
 		f := NewFailure(err)
+		if handoff.Recalled() {
+			f.Failure, f.Arrived = errRecalled, false
+		}
 		f.Load.BodyWait = s.bodyLimiter.expectedWait()
 		respondFailure(w, f)
 		return
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -201,7 +201,12 @@
 			}
 		},
 	})
-	resp, err := forwarder.RoundTrip(d.Transport, d.newRequest(tracedCtx, a))
+	resp, err := forwarder.RoundTripIf(d.Transport, d.newRequest(tracedCtx, a), func() error {
+		if !carrier.Begin(ctx) {
+			return forwarder.ErrRecalled
+		}
+		return nil
+	})
 	if err == nil {
 		targetResponse, err = d.readResponse(resp, a)
 		if err != nil && classifier.VerdictOf(err) != classifier.NotRun && conn != nil {
@@ -211,7 +216,7 @@
 	result = Result{
 		Duration: d.Clock.Now().Sub(start),
 		Err:      err,
-		Aborted:  ctx.Err() == context.Canceled || (ctx.Err() == nil && errors.Is(err, forwarder.ErrCancelled)),
+		Aborted:  ctx.Err() == context.Canceled || (ctx.Err() == nil && (errors.Is(err, forwarder.ErrCancelled) || errors.Is(err, forwarder.ErrRecalled))),
 		TimedOut: ctx.Err() == context.DeadlineExceeded,
 	}
 	if targetResponse != nil {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -98,6 +98,8 @@
 	mu           sync.Mutex
 	splitters    map[string]*matcher.Splitter
 	canaryCredit map[string]float64
+
+	inFlight inFlight
 }
 
 // Result is the result of a request, for logs and metrics.
@@ -299,6 +301,10 @@
 		if forwarder.ClientGone(ctx) {
 			return nil, c.recordError(errClientGone)
 		}
+		if d.endsTooSoon(c) {
+			c.retryAfter = d.ServesUntil().Sub(d.Clock.Now()) // this daemon would reject it again
+			return nil, c.recordError(errStopping)
+		}
 		if !first {
 			if err := d.authenticate(c); err != nil {
 				return nil, c.recordError(err)
@@ -373,6 +379,8 @@
 	c.attempts++
 	c.lastTarget = t.Target
 	a := d.newAttempt(c, t)
+	ctx, ended := d.inFlight.add(ctx, c, t.Daemon)
+	defer ended()
 	d.Chooser.RequestStarted(t.Instance)
 	var targetResponse *carrier.TargetResponse
 	var err error
--- a/internal/emulator/backend.go
+++ b/internal/emulator/backend.go
@@ -23,6 +23,8 @@
 	FailureRate float64
 	// Slow is added to the service time of each request.
 	Slow time.Duration
+	// Hold makes requests run until it is closed, if it isn't nil.
+	Hold <-chan struct{}
 	// Shed rejects requests with status 503 before they run.
 	Shed bool
 	// LoseAnswer closes the connection in place of a response after the run.
@@ -271,6 +273,13 @@
 	case <-r.Context().Done():
 		return
 	}
+	if f.Hold != nil {
+		select {
+		case <-f.Hold:
+		case <-r.Context().Done():
+			return
+		}
+	}
 	if f.LoseAnswer {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -26,6 +27,9 @@
 	Service string
 	// TimeoutMs is the timeout of a request in milliseconds; 0 means 2000.
 	TimeoutMs int
+	// ObjectiveMs is the time within which requests should be answered, in milliseconds; 0
+	// means 300.
+	ObjectiveMs int
 	// Public means that requests need no key.
 	Public bool
 }
@@ -39,9 +43,10 @@
 
 // Values in the configurations that Records.Declare writes.
 const (
-	routeTimeoutMs = 2000
-	routeAttempts  = 2
-	warmupSeconds  = 1
+	routeTimeoutMs   = 2000
+	routeObjectiveMs = 300
+	routeAttempts    = 2
+	warmupSeconds    = 1
 	// ColdRate is the maximum rate of a target that warms up, in requests per
 	// second.
 	ColdRate = 10
@@ -62,7 +67,7 @@
 			route.TimeoutMs = routeTimeoutMs
 		}
 		rules = append(rules, map[string]any{
-			"name": fmt.Sprintf("r%d", i), "kind": route.Kind, "target_latency_ms": 300, "priority": 1, "public": route.Public,
+			"name": fmt.Sprintf("r%d", i), "kind": route.Kind, "target_latency_ms": cmp.Or(route.ObjectiveMs, routeObjectiveMs), "priority": 1, "public": route.Public,
 			"match":  map[string]any{"prefix": route.Prefix},
 			"action": map[string]any{"service": route.Service, "timeout_ms": route.TimeoutMs, "attempts": routeAttempts},
 		})
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -217,12 +217,17 @@
 // read and the error that ended reading.
 type Body struct {
 	io.Reader
-	read   atomic.Bool
-	failed atomic.Pointer[error]
+	// Handoff begins before the first byte is read. It may be nil.
+	Handoff *Handoff
+	read    atomic.Bool
+	failed  atomic.Pointer[error]
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It fails if the request was recalled.
 func (b *Body) Read(p []byte) (int, error) {
+	if b.Handoff != nil && !b.Handoff.Begin() {
+		return 0, ErrRecalled
+	}
 	b.read.Store(true)
 	n, err := b.Reader.Read(p)
 	if err != nil && err != io.EOF {
@@ -251,20 +256,22 @@
 // bytes written to it and read from it before the request.
 type connTrace struct {
 	// ctx is the context of the request, with its client's connection.
-	ctx           context.Context
+	ctx context.Context
+	// check is called when the request has a connection. It may be nil.
+	check         func() error
 	conn          atomic.Pointer[countingConn]
 	connected     atomic.Bool
 	startOffset   atomic.Int64
 	startReceived atomic.Int64
-	cancelled     atomic.Bool
+	// rejected is the reason why the request was not written, or nil.
+	rejected atomic.Pointer[error]
 }
 
-// gotConn records the connection. If the client has left, or the time has run out,
-// while the request waited for a connection, it closes the connection, so that the
-// request is not written.
+// gotConn records the connection. If the request must not be sent any more after it has
+// waited for a connection, it closes the connection, so that the request is not written.
 func (ct *connTrace) gotConn(info httptrace.GotConnInfo) {
-	if ClientGone(ct.ctx) {
-		ct.cancelled.Store(true)
+	if err := ct.checkRequest(); err != nil {
+		ct.rejected.Store(&err)
 		_ = info.Conn.Close()
 	}
 	if c, ok := info.Conn.(*countingConn); ok {
@@ -276,6 +283,17 @@
 	ct.connected.Store(true)
 }
 
+// checkRequest returns the reason why the request must not be sent any more, or nil.
+func (ct *connTrace) checkRequest() error {
+	switch {
+	case ClientGone(ct.ctx):
+		return ErrCancelled
+	case ct.check != nil:
+		return ct.check()
+	}
+	return nil
+}
+
 // nothingWritten reports whether it is certain that no byte of the request was
 // written.
 func (ct *connTrace) nothingWritten() bool {
@@ -348,7 +366,17 @@
 // byte can have been written. A response whose status is not one of a final response
 // is an error, and its connection is closed.
 func RoundTrip(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
-	ct := connTrace{ctx: req.Context()}
+	return RoundTripIf(rt, req, nil)
+}
+
+// RoundTripIf sends a request like RoundTrip, unless check returns an error, which must have
+// the verdict NotRun. check is called when the request has a connection, before any byte is
+// written, and may change the values of its headers.
+func RoundTripIf(rt http.RoundTripper, req *http.Request, check func() error) (*http.Response, error) {
+	ct := connTrace{
+		ctx:   req.Context(),
+		check: check,
+	}
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: ct.gotConn})
 	resp, err := rt.RoundTrip(req.WithContext(ctx))
 	switch {
@@ -360,8 +388,8 @@
 		return nil, classifier.NewFailure(classifier.MayHaveRun, "answer with an invalid status", nil)
 	case !ct.connected.Load():
 		return nil, classifier.NewFailure(classifier.NotRun, "no connection", err)
-	case ct.cancelled.Load() && ct.nothingWritten():
-		return nil, ErrCancelled
+	case ct.rejected.Load() != nil:
+		return nil, *ct.rejected.Load()
 	case bodyError(req) != nil:
 		return nil, classifier.NewFailure(classifier.MayHaveRun, "body broke off", bodyError(req))
 	case ctx.Err() != nil:
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -22,6 +22,7 @@
 	crashMethod       = "crash"
 	quarantineMethod  = "quarantine"
 	countsMethod      = "counts"
+	recallMethod      = "recall"
 )
 
 // Polling intervals.
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -184,6 +184,8 @@
 	metrics.GetOrRegisterGauge("control.received", d.metrics).Update(d.client.ReceivedBytes.Load() + d.control.ReceivedBytes.Load())
 	metrics.GetOrRegisterGauge("zone.orderbytes", d.metrics).Update(d.zones.attemptBytes.Load())
 	metrics.GetOrRegisterGauge("zone.controlbytes", d.metrics).Update(d.zones.controlBytes.Load())
+	metrics.GetOrRegisterGauge("order.running", d.metrics).Update(int64(d.gate.Running()))
+	metrics.GetOrRegisterGauge("order.queued", d.metrics).Update(int64(d.gate.Queued()))
 	if v := d.view.Load(); v != nil {
 		metrics.GetOrRegisterGauge("member.targets", d.metrics).Update(int64(v.targets))
 		metrics.GetOrRegisterGauge("plan.version", d.metrics).Update(int64(v.plan.Version))
--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/receiver"
@@ -31,7 +32,8 @@
 
 // shutdown stops the daemon gracefully. It reports not ready, keeps serving while
 // clients move to other daemons, then admits no further attempts at the local target.
-// It rejects requests that may take longer than it serves.
+// It rejects requests that may take longer than it serves, and recalls attempts that no
+// target runs in time.
 // It closes the connections of clients once no request is in flight, or once the time
 // left is shorter than the longest timeout, and returns when they have ended or the grace
 // period is nearly over. The connections of other daemons are closed last. If the process
@@ -47,6 +49,10 @@
 	d.stopping.Store(true)
 	d.receiver.Drain()
 	d.log.Info("stopping", "grace", grace)
+	d.gate.CheckQueue()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go newRecaller(d).run(ctx)
 	time.Sleep(delay)
 	d.leave()
 	stopTime := deadline.Add(-max(d.longestTimeout(), closeTime))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -137,6 +137,7 @@
 	// account accounts for the memory that the process holds for others.
 	account     *allocator.Account
 	receiver    *receiver.Server
+	dispatcher  *dispatcher.Dispatcher
 	judge       shifter.Judge
 	retryBudget *dispatcher.RetryBudget
 	// throttler rejects requests for which there is no room, and running holds those
@@ -360,6 +361,7 @@
 	linker.Handle(d.control, relayUpdateMethod, d.handleRelayUpdate)
 	linker.Handle(d.control, withdrawMethod, d.handleWithdraw)
 	linker.Handle(d.control, copyMethod, d.handleCopy)
+	linker.Handle(d.control, recallMethod, d.handleRecall)
 	if d.usage != nil {
 		linker.Handle(d.control, countsMethod, d.usage.handleCounts)
 	}
@@ -388,7 +390,7 @@
 		OnSilent:    d.markUnreachable,
 		KeepWaiting: d.stopping.Load,
 	}
-	dispatch := &dispatcher.Dispatcher{
+	d.dispatcher = &dispatcher.Dispatcher{
 		Daemon:             d.settings.Name,
 		Caller:             d.sidecar.Service,
 		Plan:               d.plan,
@@ -407,7 +409,7 @@
 		OnResult:           d.observeRequest,
 	}
 	return &receiver.Server{
-		Handle:         dispatch.Handle,
+		Handle:         d.dispatcher.Handle,
 		Limits:         d.limits,
 		OnRejected:     d.observeRejectedRequest,
 		OnPanic:        d.observePanic,
