carrier: the time left is measured after the wait for a connection (BUDGET)

Change: the headers with times are set when the attempt has a connection, just before it is written. The longest wait for a slot is at most the time left then.

Evidence: TestTimeLeftAfterWaitForConnection, with a dial that takes 2 s, failed on the code before: the daemon of the target got 2.0 s more than was left.

--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -94,6 +94,7 @@
 		},
 	})
 	resp, err := forwarder.RoundTripIf(c.Transport, r.WithContext(ctx), func() error {
+		a.writeTimes(r.Header)
 		if !expectsContinue(a) && !handoff.Begin() {
 			return forwarder.ErrRecalled
 		}
@@ -176,6 +177,7 @@
 	}
 }
 
+// newRequest returns the request of an attempt. Its times are set when it is sent.
 func (c *Client) newRequest(address string, a *Attempt, handoff *forwarder.Handoff) (*http.Request, *forwarder.Body) {
 	h := forwarder.ForwardedHeader(a.Header)
 	a.writeHeader(h, c.Key)
--- a/internal/carrier/header.go
+++ b/internal/carrier/header.go
@@ -76,8 +76,8 @@
 	return time.Duration(intHeader(h, name)) * time.Microsecond
 }
 
-// writeHeader sets the headers of an attempt. key is the secret that all daemons
-// share.
+// writeHeader sets the headers of an attempt, except those of writeTimes. key is the secret
+// that all daemons share.
 func (a *Attempt) writeHeader(h http.Header, key string) {
 	h.Set(forwarder.KeyHeader, key)
 	h.Set(forwarder.ServiceHeader, a.Service)
@@ -94,15 +94,21 @@
 		h.Set(lateHeader, strconv.FormatBool(a.Late))
 	}
 	h.Set(callerHeader, a.Caller)
+	if a.Baseline > 0 {
+		setDurationHeader(h, baselineHeader, a.Baseline)
+	}
+}
+
+// writeTimes sets the headers that state how much time is left. The receiver measures it from
+// the arrival on.
+func (a *Attempt) writeTimes(h http.Header) {
 	if a.Identity.Customer != "" {
 		a.writeIdentity(h)
 	}
-	setDurationHeader(h, queueTimeoutHeader, a.MaxWait)
+	left := time.Until(a.Deadline)
+	setDurationHeader(h, queueTimeoutHeader, min(a.MaxWait, left))
 	setDurationHeader(h, objectiveHeader, time.Until(a.Objective))
-	setDurationHeader(h, remainingHeader, time.Until(a.Deadline))
-	if a.Baseline > 0 {
-		setDurationHeader(h, baselineHeader, a.Baseline)
-	}
+	setDurationHeader(h, remainingHeader, left)
 }
 
 // readAttempt returns the attempt in a request, without its body.
@@ -135,8 +141,7 @@
 	return a
 }
 
-// writeIdentity sets the headers of the customer. The receiver measures the time that is left
-// from the arrival on, as with the deadline.
+// writeIdentity sets the headers of the customer.
 func (a *Attempt) writeIdentity(h http.Header) {
 	h.Set(customerHeader, url.QueryEscape(a.Identity.Customer))
 	h.Set(keyIDHeader, a.Identity.KeyID)
--- a/internal/carrier/recall_test.go
+++ b/internal/carrier/recall_test.go
@@ -191,3 +191,31 @@
 		t.Errorf("%d runs, want none", n)
 	}
 }
+
+// TestTimeLeftAfterWaitForConnection guards against a deadline that the wait for a connection
+// between daemons puts off.
+func TestTimeLeftAfterWaitForConnection(t *testing.T) {
+	deadline := make(chan time.Time, 1)
+	address := startServer(t, func(_ context.Context, a *carrier.Attempt) (*carrier.TargetResponse, error) {
+		deadline <- a.Deadline
+		return &carrier.TargetResponse{Status: 200}, nil
+	})
+	c := newClient()
+	c.KeepWaiting = func() bool { return true }
+	dialling, release := make(chan struct{}), make(chan struct{})
+	heldDial(c, dialling, release)
+	const wait = 2 * time.Second
+	go func() {
+		<-dialling
+		time.Sleep(wait)
+		close(release)
+	}()
+	a := attempt(matcher.Idempotent, "page")
+	if _, err := c.Send(t.Context(), address, a); err != nil {
+		t.Fatal(err)
+	}
+	// The way between the daemons takes far less than the wait.
+	if late := (<-deadline).Sub(a.Deadline); late > wait/2 {
+		t.Errorf("the daemon of the target got %v more than was left", late)
+	}
+}
