deliverer: admission is checked after the last wait (DRAIN)

Cause: the transport to the target had 48 connections, whatever the slots of the target. The gate admitted as many requests as there are slots; the rest waited inside the transport, after the gate had been asked for the last time, and went on whatever had happened meanwhile: a leave, an evacuation, a version withdrawn, a key removed. They also went on with the time budget from before the wait.

Change: the bound on connections is taken out, since a slot bounds them already. The gate admits at most as many requests as the operators say that a target accepts connections (max_conns), which only the bound of 48 had kept so far. What remains is the time to connect; the gate and the key are asked after it, when the request has a connection and before a byte is written, and the time budget is measured then. A Watch ends the wait itself once the target leaves, is replaced or closed; large bodies that wait for their turn have one too. A body that is arriving isn't broken off: the close would take the verdict with it.

The check of a plan names the number of connections, and refuses a negative one.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -122,6 +122,8 @@
 	limit   float64
 	running int
 	queue   []*waiter
+	// watches holds requests that wait for something else than a slot.
+	watches map[*Watch]struct{}
 	// shares orders the waiters of one priority.
 	shares      sharer.Sharer
 	admittedAt  []time.Time
@@ -175,8 +177,8 @@
 	g.coldSuspected = true
 }
 
-// CheckQueue rejects queued requests that the target must no longer get, and admits
-// others.
+// CheckQueue rejects queued and watched requests that the target must no longer get, and
+// admits others.
 func (g *Gate) CheckQueue() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -251,14 +253,6 @@
 	return g.checkWait(r, g.Clock.Now())
 }
 
-// CheckAdmitted returns the rejection of a request that the target must no longer get,
-// although it was admitted, or nil.
-func (g *Gate) CheckAdmitted(instance string) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.checkOpen(instance)
-}
-
 // checkWait rejects a request that the target must not get or that would queue
 // for too long.
 func (g *Gate) checkWait(r Request, now time.Time) error {
--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -96,8 +96,11 @@
 }
 
 // serveQueue admits waiters while there are free slots, and rejects those that
-// the target must no longer get. The caller holds the lock.
+// the target must no longer get, watched requests too. The caller holds the lock.
 func (g *Gate) serveQueue() {
+	for w := range g.watches {
+		g.checkWatch(w)
+	}
 	now := g.Clock.Now()
 	kept := g.queue[:0]
 	for _, w := range g.queue {
--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -233,6 +233,9 @@
 		if s.ColdRate < 0 {
 			a.add(Invalid, s.Key, "service %q has a negative rate while cold", s.Name)
 		}
+		if s.Connections < 0 {
+			a.add(Invalid, s.Key, "service %q has a negative number of connections", s.Name)
+		}
 		first[s.Name] = s.Key
 	}
 }
--- a/internal/auditor/changes.go
+++ b/internal/auditor/changes.go
@@ -112,7 +112,7 @@
 		)
 	}
 	for _, s := range p.Services {
-		add("service "+s.Name, field{"coldrate", fmt.Sprint(s.ColdRate)})
+		add("service "+s.Name, field{"coldrate", fmt.Sprint(s.ColdRate)}, field{"connections", fmt.Sprint(s.Connections)})
 	}
 	for _, c := range p.Customers {
 		add("customer "+c.Name, field{"keys", secretsText(c.Secrets)})
--- a/internal/carrier/bodylimiter.go
+++ b/internal/carrier/bodylimiter.go
@@ -157,3 +157,10 @@
 	defer l.mu.Unlock()
 	l.meanTurn += time.Duration(turnWeight * float64(elapsed-l.meanTurn))
 }
+
+// AwaitingTurn returns the number of large bodies that wait for their turn.
+func (s *Server) AwaitingTurn() int {
+	s.bodyLimiter.mu.Lock()
+	defer s.bodyLimiter.mu.Unlock()
+	return len(s.bodyLimiter.waiting)
+}
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -3,6 +3,7 @@
 package deliverer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -54,6 +55,9 @@
 	// target, and done with the result when the attempt has ended. connectionFailed
 	// reports whether the connection broke or was refused.
 	BeforeForward func(a *carrier.Attempt) (connected func(), done func(r Result, connectionFailed bool), err error)
+	// BeforeSend is called after the last wait, when the attempt has a connection to the
+	// target, and may reject it with an error.
+	BeforeSend func(a *carrier.Attempt) error
 	// OnResult is called when an attempt that got a slot has ended, and OnRejected
 	// when an attempt was rejected before it got one.
 	OnResult   func(a *carrier.Attempt, r Result)
@@ -143,7 +147,12 @@
 			Max:      a.MaxWait,
 			Standing: time.Until(a.Objective) - d.Gate.Load(a.Rule).ServiceTime,
 		}
-		if err := carrier.AwaitBodyTurn(ctx, wait); err != nil {
+		watched, watch := d.Gate.Watch(ctx, slotRequest)
+		err := carrier.AwaitBodyTurn(watched, wait)
+		if rejection := watch.End(); rejection != nil {
+			return rejection
+		}
+		if err != nil {
 			return err
 		}
 	}
@@ -176,14 +185,13 @@
 // forward sends the attempt to the target and reads the response.
 func (d *Deliverer) forward(ctx context.Context, a *carrier.Attempt) (targetResponse *carrier.TargetResponse, result Result) {
 	start := d.Clock.Now()
+	watched, watch := d.Gate.Watch(ctx, admitter.Request{Instance: a.Instance})
+	defer func() { _ = watch.End() }()
 	if err := carrier.ReadBody(ctx); err != nil {
 		return nil, Result{Err: classifier.NewFailure(classifier.NotRun, "body broke off", err), Aborted: true}
 	}
-	if forwarder.ClientGone(ctx) {
-		return nil, Result{Err: admitter.ErrCanceled, Aborted: true}
-	}
-	if err := d.Gate.CheckAdmitted(a.Instance); err != nil { // may have changed while the body arrived
-		return nil, Result{Err: err, Aborted: true}
+	if forwarder.ClientGone(watched) {
+		return nil, Result{Err: cmp.Or(watch.Err(), error(admitter.ErrCanceled)), Aborted: true}
 	}
 	onConnected, done, err := d.BeforeForward(a)
 	if err != nil {
@@ -193,18 +201,20 @@
 	carrier.Acknowledge(ctx)
 	var connected atomic.Bool
 	var conn net.Conn // RoundTrip calls GotConn before it returns
-	tracedCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	tracedCtx := httptrace.WithClientTrace(watched, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			conn = info.Conn
-			if !connected.Swap(true) {
-				onConnected()
-			}
+			connected.Store(true)
 		},
 	})
-	resp, err := forwarder.RoundTripIf(d.Transport, d.newRequest(tracedCtx, a), func() error {
-		if !carrier.Begin(ctx) {
-			return forwarder.ErrRecalled
+	r := d.newRequest(tracedCtx, a)
+	var refused error
+	resp, err := forwarder.RoundTripIf(d.Transport, r, func() error {
+		if refused = d.checkSend(ctx, a, watch); refused != nil {
+			return refused
 		}
+		d.Codec.SetHeaders(r.Header, a, time.Until(a.Deadline))
+		onConnected()
 		return nil
 	})
 	if err == nil {
@@ -213,21 +223,39 @@
 			_ = conn.Close() // its next response may belong to this request
 		}
 	}
+	if rejection := watch.Err(); rejection != nil {
+		err, refused = rejection, rejection
+	}
 	result = Result{
 		Duration: d.Clock.Now().Sub(start),
 		Err:      err,
-		Aborted:  ctx.Err() == context.Canceled || (ctx.Err() == nil && (errors.Is(err, forwarder.ErrCancelled) || errors.Is(err, forwarder.ErrRecalled))),
+		Aborted:  refused != nil || ctx.Err() == context.Canceled || (ctx.Err() == nil && errors.Is(err, forwarder.ErrCancelled)),
 		TimedOut: ctx.Err() == context.DeadlineExceeded,
 	}
 	if targetResponse != nil {
 		result.Status = targetResponse.Status
 	}
-	if err != nil && ctx.Err() == nil && !connected.Load() {
+	if err != nil && refused == nil && ctx.Err() == nil && !connected.Load() {
 		d.Gate.SuspectCold()
 	}
 	return targetResponse, result
 }
 
+// checkSend returns the rejection of an attempt that must not be sent to the target any more
+// after all its waits, or nil. It begins the attempt's handoff.
+func (d *Deliverer) checkSend(ctx context.Context, a *carrier.Attempt, watch *admitter.Watch) error {
+	if err := watch.End(); err != nil {
+		return err
+	}
+	if err := d.BeforeSend(a); err != nil {
+		return err
+	}
+	if !carrier.Begin(ctx) {
+		return forwarder.ErrRecalled
+	}
+	return nil
+}
+
 // isConnectionError reports whether err means that the connection to the target
 // broke or was refused, for example because the target has exited.
 func isConnectionError(err error) bool {
@@ -235,15 +263,14 @@
 	return errors.As(err, &f) && f.Err != nil && !forwarder.IsTooLong(err)
 }
 
-// newRequest returns the request to the target.
+// newRequest returns the request to the target, without the headers of the codec. They are set
+// when it is sent.
 func (d *Deliverer) newRequest(ctx context.Context, a *carrier.Attempt) *http.Request {
-	h := forwarder.ForwardedHeader(a.Header)
-	d.Codec.SetHeaders(h, a, time.Until(a.Deadline))
 	r := &http.Request{
 		Method:        a.Method,
 		URL:           a.URL(d.Target),
 		Host:          a.Host,
-		Header:        h,
+		Header:        forwarder.ForwardedHeader(a.Header),
 		Body:          &forwarder.Body{Reader: a.Body.Reader()},
 		ContentLength: int64(a.Body.Len()),
 	}
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -65,6 +65,7 @@
 		BeforeForward: func(*carrier.Attempt) (func(), func(deliverer.Result, bool), error) {
 			return func() {}, func(deliverer.Result, bool) {}, nil
 		},
+		BeforeSend: func(*carrier.Attempt) error { return nil },
 		OnResult:   func(_ *carrier.Attempt, result deliverer.Result) { r.results = append(r.results, result) },
 		OnRejected: func(*carrier.Attempt, *carrier.Failure) {},
 		OnLimit:    func(*carrier.Attempt, float64) {},
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -47,6 +47,8 @@
 	routeObjectiveMs = 300
 	routeAttempts    = 2
 	warmupSeconds    = 1
+	// MaxConns is the number of connections that a target accepts.
+	MaxConns = 100
 	// ColdRate is the maximum rate of a target that warms up, in requests per
 	// second.
 	ColdRate = 10
@@ -74,7 +76,7 @@
 		if !services[route.Service] {
 			services[route.Service] = true
 			clusters = append(clusters, map[string]any{
-				"name": route.Service, "max_conns": 100, "warmup_s": warmupSeconds, "warmup_per_s": ColdRate,
+				"name": route.Service, "max_conns": MaxConns, "warmup_s": warmupSeconds, "warmup_per_s": ColdRate,
 			})
 		}
 	}
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -47,7 +48,8 @@
 
 // TransportOptions configures a transport.
 type TransportOptions struct {
-	// MaxConnections bounds the number of connections to one address.
+	// MaxConnections bounds the number of connections to one address; 0 means no bound. Beyond
+	// it requests wait for a connection.
 	MaxConnections int
 	// Dial bounds the time to connect.
 	Dial time.Duration
@@ -79,6 +81,7 @@
 		Control: setUserTimeout,
 	}
 	maxHead := cmp.Or(o.MaxResponseHead, defaultMaxResponseHead)
+	maxIdle := cmp.Or(o.MaxConnections, math.MaxInt)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
@@ -95,7 +98,7 @@
 			return counted, nil
 		},
 		DisableCompression:     true,
-		MaxIdleConnsPerHost:    o.MaxConnections,
+		MaxIdleConnsPerHost:    maxIdle,
 		MaxConnsPerHost:        o.MaxConnections,
 		IdleConnTimeout:        o.Idle,
 		ExpectContinueTimeout:  maxTimeout,
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -62,6 +62,9 @@
 	// ColdRate is the number of requests per second that a cold target can take, or 0
 	// if there is no bound.
 	ColdRate float64
+	// Connections is the number of connections that a target accepts, or 0 if there is no
+	// bound.
+	Connections int
 }
 
 // Limits bounds what clients may send.
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -56,9 +56,9 @@
 }
 
 // trackRunning counts a request that is forwarded to the local target as running. It has the
-// results of checkBeforeForward.
+// results of checkQuarantine.
 func (d *Daemon) trackRunning(a *carrier.Attempt) (connected func(), done func(r deliverer.Result, connectionLost bool), err error) {
-	connected, ended, err := d.checkBeforeForward(a)
+	connected, ended, err := d.checkQuarantine(a)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -185,7 +185,7 @@
 func (u *usageDuty) now() time.Time { return u.clock.At(u.read().Monotonic) }
 
 // beforeForward is called before an attempt is forwarded to the target. It checks the
-// customer's key and the quarantine, and counts the attempt as running and, if it belongs to a
+// quarantine, and counts the attempt as running and, if it belongs to a
 // customer, as usage, until the target refuses it.
 func (d *Daemon) beforeForward(a *carrier.Attempt) (connected func(), done func(r deliverer.Result, connectionLost bool), err error) {
 	checkedConnected, checkedDone, err := d.trackRunning(a)
--- a/internal/sidecar/keys.go
+++ b/internal/sidecar/keys.go
@@ -6,7 +6,6 @@
 	"github.com/coltsfootlane/coltsfootlane/internal/attester"
 	"github.com/coltsfootlane/coltsfootlane/internal/authenticator"
 	"github.com/coltsfootlane/coltsfootlane/internal/carrier"
-	"github.com/coltsfootlane/coltsfootlane/internal/deliverer"
 	"github.com/coltsfootlane/coltsfootlane/internal/follower"
 	"github.com/coltsfootlane/coltsfootlane/internal/prober"
 	"github.com/coltsfootlane/coltsfootlane/internal/timekeeper"
@@ -160,17 +159,18 @@
 	}
 }
 
-// checkBeforeForward rejects an attempt whose key no longer counts, or that is quarantined,
-// when it is about to be sent to the target.
-func (d *Daemon) checkBeforeForward(a *carrier.Attempt) (connected func(), done func(deliverer.Result, bool), err error) {
-	if a.Identity.Customer != "" {
-		if err := a.Identity.Recheck(d.plan(), timekeeper.System{}.Read().Since(a.Identified)); err != nil {
-			d.incrementCounter("order.keyrefused")
-			d.log.Info("order refused", "request", a.ID, "rule", a.Rule, "target", a.Instance, "customer", a.Identity.Customer, "reason", err)
-			return nil, nil, err
-		}
+// recheckKey rejects an attempt whose key no longer counts when it is about to be sent to the
+// target.
+func (d *Daemon) recheckKey(a *carrier.Attempt) error {
+	if a.Identity.Customer == "" {
+		return nil
 	}
-	return d.checkQuarantine(a)
+	err := a.Identity.Recheck(d.plan(), timekeeper.System{}.Read().Since(a.Identified))
+	if err != nil {
+		d.incrementCounter("order.keyrefused")
+		d.log.Info("order refused", "request", a.ID, "rule", a.Rule, "target", a.Instance, "customer", a.Identity.Customer, "reason", err)
+	}
+	return err
 }
 
 // countKeyRefusal counts a request that was refused because of its key.
--- a/internal/sidecar/observe.go
+++ b/internal/sidecar/observe.go
@@ -184,8 +184,12 @@
 	metrics.GetOrRegisterGauge("control.received", d.metrics).Update(d.client.ReceivedBytes.Load() + d.control.ReceivedBytes.Load())
 	metrics.GetOrRegisterGauge("zone.orderbytes", d.metrics).Update(d.zones.attemptBytes.Load())
 	metrics.GetOrRegisterGauge("zone.controlbytes", d.metrics).Update(d.zones.controlBytes.Load())
+	if t, ok := d.gate.Target(); ok {
+		metrics.GetOrRegisterGauge("order.slots", d.metrics).Update(int64(t.Slots))
+	}
 	metrics.GetOrRegisterGauge("order.running", d.metrics).Update(int64(d.gate.Running()))
 	metrics.GetOrRegisterGauge("order.queued", d.metrics).Update(int64(d.gate.Queued()))
+	metrics.GetOrRegisterGauge("order.bodies", d.metrics).Update(int64(d.attemptServer.AwaitingTurn()))
 	if v := d.view.Load(); v != nil {
 		metrics.GetOrRegisterGauge("member.targets", d.metrics).Update(int64(v.targets))
 		metrics.GetOrRegisterGauge("plan.version", d.metrics).Update(int64(v.plan.Version))
--- a/internal/sidecar/proofs_test.go
+++ b/internal/sidecar/proofs_test.go
@@ -97,7 +97,10 @@
 			d.logs.Reset()
 			d.observeRequest(dispatcher.Result{ID: "id-1", Status: 200})
 			d.newAuthenticator()
-			if _, _, err := d.checkBeforeForward(&carrier.Attempt{ID: "id-1"}); err != nil {
+			if err := d.recheckKey(&carrier.Attempt{ID: "id-1"}); err != nil {
+				t.Error(err)
+			}
+			if _, _, err := d.checkQuarantine(&carrier.Attempt{ID: "id-1"}); err != nil {
 				t.Error(err)
 			}
 			if line := d.logs.String(); bytes.Count(d.logs.Bytes(), []byte("\n")) != 1 || bytes.Contains(d.logs.Bytes(), []byte("customer")) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -254,10 +254,9 @@
 
 // Limits of connections, calls and memory.
 const (
-	// peerConnections bounds the connections to one other daemon, and
-	// targetConnections those to the target.
-	peerConnections   = 64
-	targetConnections = 48
+	// peerConnections bounds the connections to one other daemon. Those to the target are
+	// bounded by the gate, so that no request that it has admitted waits for one.
+	peerConnections = 64
 	// peerDialTimeout and targetDialTimeout bound the time to connect. Connecting
 	// normally takes less than 3 ms. If the SYN is lost, it is retransmitted only
 	// after a second, so the dial times out.
@@ -427,7 +426,6 @@
 		Target: d.sidecar.Target,
 		Gate:   d.gate,
 		Transport: forwarder.NewTransportWith(forwarder.TransportOptions{
-			MaxConnections:  targetConnections,
 			Dial:            targetDialTimeout,
 			Idle:            targetIdleTimeout,
 			MaxResponseHead: maxTargetHead,
@@ -436,6 +434,7 @@
 		Codec:         d.platform.Codec,
 		Clock:         d.clock,
 		BeforeForward: d.beforeForward,
+		BeforeSend:    d.recheckKey,
 		OnResult:      d.observeAttempt,
 		OnRejected:    d.observeRejectedAttempt,
 		OnLimit:       d.observeLimit,
--- a/internal/sidecar/target.go
+++ b/internal/sidecar/target.go
@@ -168,7 +168,7 @@
 		Instance:     a.Instance,
 		Service:      a.Service,
 		Version:      a.Version,
-		Slots:        a.Slots,
+		Slots:        d.usableSlots(a),
 		ShuttingDown: a.Draining,
 		WarmupLeft:   a.WarmupLeft,
 		ColdRate:     d.warmupRate(a.Service),
@@ -220,6 +220,19 @@
 	return defaultWarmupRate
 }
 
+// usableSlots returns the number of a target's slots for which it accepts connections, since
+// each request that runs has one of its own.
+func (d *Daemon) usableSlots(a Announcement) int {
+	p := d.plan()
+	if p == nil {
+		return a.Slots
+	}
+	if most := p.Services[a.Service].Connections; most > 0 {
+		return min(a.Slots, most)
+	}
+	return a.Slots
+}
+
 // announcementExpiry returns the time without an announcement after which a target is
 // assumed to be gone.
 func (d *Daemon) announcementExpiry() time.Duration {
