forwarder: the daemon of the own interface looks again after its last wait

Change: the limiter bounds the connections to the target. When a request has its connection, the target must still be the one whose limiter has admitted it, and the time left is measured. Otherwise the verdict is NotRun.

--- a/internal/forwarder/admission.go
+++ b/internal/forwarder/admission.go
@@ -27,7 +27,8 @@
 type Admission struct {
 	// Key is the secret shared by all daemons; it is sent in KeyHeader.
 	Key string
-	// Local returns the target announced on this VM, or nil if there is none.
+	// Local returns the target announced on this VM, or nil if there is none. A target that
+	// was replaced has another limiter.
 	Local func() *Local
 	// Transport sends requests to the target.
 	Transport http.RoundTripper
@@ -90,7 +91,13 @@
 	}()
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	out := a.request(r, l)
-	resp, err := roundTripFramed(a.Transport, out)
+	resp, err := roundTripFramed(a.Transport, out, func() error {
+		if now := a.Local(); now == nil || now.Limiter != l.Limiter {
+			return errNoTarget
+		}
+		setTimeLeft(out)
+		return nil
+	})
 	setHeadroom(w.Header(), l)
 	if err != nil {
 		outcome = failedOutcome(r.Context(), out, began)
@@ -130,9 +137,7 @@
 	out.URL.Scheme = "http"
 	out.URL.Host = l.Address
 	out.Header = ForwardedHeader(r.Header)
-	if deadline, ok := r.Context().Deadline(); ok {
-		setTimeout(out.Header, time.Until(deadline))
-	}
+	setTimeLeft(out)
 	out.Body = &Body{Reader: r.Body}
 	out.GetBody = nil
 	return out
--- a/internal/forwarder/entry.go
+++ b/internal/forwarder/entry.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/go-kit/kit/endpoint"
 	"github.com/google/uuid"
@@ -129,7 +128,10 @@
 	}
 	c.tried = append(c.tried, m.ID)
 	out := e.request(ctx, c, m, version)
-	resp, err := roundTripFramed(e.Transport, out)
+	resp, err := roundTripFramed(e.Transport, out, func() error {
+		setTimeLeft(out)
+		return nil
+	})
 	e.recordHeadroom(choice, resp)
 	if err == nil {
 		err = daemonError(resp)
@@ -193,9 +195,7 @@
 	out.Header.Set(VersionHeader, version)
 	out.Header.Set(RouteHeader, c.Match.Route.Path)
 	out.Header.Set(RevisionHeader, strconv.FormatUint(c.View.Revision, 10))
-	if deadline, ok := ctx.Deadline(); ok {
-		setTimeout(out.Header, time.Until(deadline))
-	}
+	setTimeLeft(out)
 	out.GetBody = nil
 	out.Body = c.stream
 	if c.stream == nil {
--- a/internal/forwarder/headers.go
+++ b/internal/forwarder/headers.go
@@ -93,6 +93,10 @@
 	return time.Duration(max(0, ms)) * time.Millisecond
 }
 
-func setTimeout(h http.Header, left time.Duration) {
-	h.Set(TimeoutHeader, strconv.FormatInt(left.Milliseconds(), 10))
+// setTimeLeft sets the header that states the time left until the request's deadline, if it
+// has one.
+func setTimeLeft(r *http.Request) {
+	if deadline, ok := r.Context().Deadline(); ok {
+		r.Header.Set(TimeoutHeader, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	}
 }
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -37,7 +37,7 @@
 )
 
 // NewTransport returns the transport for requests to daemons and targets. It
-// reuses connections, at most the given number to one address.
+// reuses connections, at most the given number to one address; 0 means no bound.
 func NewTransport(connections int) *http.Transport {
 	return NewTransportWith(TransportOptions{
 		MaxConnections: connections,
@@ -344,10 +344,10 @@
 // request was written.
 var ErrCancelled = classifier.NewFailure(classifier.NotRun, "cancelled before it was written", nil)
 
-// roundTripFramed sends a request once. It fails if the response has no framing
-// by which its end can be detected.
-func roundTripFramed(rt http.RoundTripper, req *http.Request) (*http.Response, error) {
-	resp, err := RoundTrip(rt, req)
+// roundTripFramed sends a request once, like RoundTripIf. It fails if the response has no
+// framing by which its end can be detected.
+func roundTripFramed(rt http.RoundTripper, req *http.Request, check func() error) (*http.Response, error) {
+	resp, err := RoundTripIf(rt, req, check)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forwarder/roundtrip_test.go
+++ b/internal/forwarder/roundtrip_test.go
@@ -82,7 +82,7 @@
 			return c, nil
 		}
 		req, _ := http.NewRequestWithContext(t.Context(), "POST", srv.URL, &Body{Reader: strings.NewReader("x")})
-		if _, err := roundTripFramed(tr, req); classifier.VerdictOf(err) != want {
+		if _, err := roundTripFramed(tr, req, nil); classifier.VerdictOf(err) != want {
 			t.Errorf("connection broken after %d bytes: error %v, want verdict %v", limit, err, want)
 		}
 	}
@@ -107,7 +107,7 @@
 			_, _ = io.Copy(io.Discard, conn)
 		}()
 		req, _ := http.NewRequestWithContext(t.Context(), "POST", "http://"+ln.Addr().String(), &Body{Reader: strings.NewReader("x")})
-		if _, err := roundTripFramed(NewTransport(1), req); err == nil || classifier.VerdictOf(err) != classifier.MayHaveRun {
+		if _, err := roundTripFramed(NewTransport(1), req, nil); err == nil || classifier.VerdictOf(err) != classifier.MayHaveRun {
 			t.Errorf("status %s: got the error %v, want one with the verdict MayHaveRun", status, err)
 		}
 		_ = ln.Close()
--- a/internal/server/daemon.go
+++ b/internal/server/daemon.go
@@ -124,8 +124,6 @@
 const (
 	// peerConnections limits the connections to one other daemon.
 	peerConnections = 64
-	// targetConnections limits the connections to the target.
-	targetConnections = 256
 	// controlTimeout limits one control call.
 	controlTimeout = 2 * time.Second
 )
@@ -155,7 +153,7 @@
 		client:          linker.NewClient(s.Key, controlTimeout),
 		control:         linker.NewServer(s.Key),
 		peerTransport:   forwarder.NewTransport(peerConnections),
-		targetTransport: forwarder.NewTransport(targetConnections),
+		targetTransport: forwarder.NewTransport(0), // its limiter bounds the requests
 		callSem:         make(chan struct{}, maxMemberCalls),
 		probeSem:        make(chan struct{}, maxMemberCalls),
 
