forwarder, carrier: a rejected request doesn't count as a broken connection

The crash check of the own interface's daemon took the connection that is closed under a rejected request for one that the target broke. The context of that request is done now, as after a cancellation, which the check knows. Recalls during the time to connect, and after the stopping daemon has left the membership, have tests of their own. The attempts of a server are called open, since those that were sent are among them too.

TestRoundTripIf, TestTargetClosesDuringWaitForConnection and TestStopAnswersRequestsThatWaitElsewhere pass with the race detector.

--- a/internal/carrier/recall.go
+++ b/internal/carrier/recall.go
@@ -34,56 +34,56 @@
 // recalled.
 func Begin(ctx context.Context) bool { return handoffOf(ctx).Begin() }
 
-// unsentAttempts holds the attempts of a Server by ID until their responses are sent. It is
+// openAttempts holds the attempts of a Server by ID until their responses are sent. It is
 // safe for concurrent use. The zero value is empty.
-type unsentAttempts struct {
+type openAttempts struct {
 	mu   sync.Mutex
-	byID map[string][]*unsentAttempt
+	byID map[string][]*openAttempt
 }
 
-type unsentAttempt struct {
+type openAttempt struct {
 	handoff forwarder.Handoff
 	cancel  context.CancelFunc
 }
 
 // add adds an attempt. The context that it returns holds the attempt's handoff, and ends
 // when the attempt is recalled or done is called.
-func (u *unsentAttempts) add(ctx context.Context, id string) (_ context.Context, h *forwarder.Handoff, done func()) {
+func (o *openAttempts) add(ctx context.Context, id string) (_ context.Context, h *forwarder.Handoff, done func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	a := &unsentAttempt{cancel: cancel}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.byID == nil {
-		u.byID = map[string][]*unsentAttempt{}
+	a := &openAttempt{cancel: cancel}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.byID == nil {
+		o.byID = map[string][]*openAttempt{}
 	}
-	u.byID[id] = append(u.byID[id], a)
+	o.byID[id] = append(o.byID[id], a)
 	return WithHandoff(ctx, &a.handoff), &a.handoff, func() {
 		cancel()
-		u.remove(id, a)
+		o.remove(id, a)
 	}
 }
 
-func (u *unsentAttempts) remove(id string, a *unsentAttempt) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.byID[id] = slices.DeleteFunc(u.byID[id], func(other *unsentAttempt) bool { return other == a })
-	if len(u.byID[id]) == 0 {
-		delete(u.byID, id)
+func (o *openAttempts) remove(id string, a *openAttempt) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.byID[id] = slices.DeleteFunc(o.byID[id], func(other *openAttempt) bool { return other == a })
+	if len(o.byID[id]) == 0 {
+		delete(o.byID, id)
 	}
 }
 
 // Recall rejects the attempts with the given IDs that have not been sent to the target, and
 // returns the IDs of those that are known, also if they have been sent.
 func (s *Server) Recall(ids []string) (known []string) {
-	s.unsent.mu.Lock()
-	defer s.unsent.mu.Unlock()
+	s.open.mu.Lock()
+	defer s.open.mu.Unlock()
 	for _, id := range ids {
-		for _, a := range s.unsent.byID[id] {
+		for _, a := range s.open.byID[id] {
 			if a.handoff.Recall() {
 				a.cancel()
 			}
 		}
-		if len(s.unsent.byID[id]) > 0 {
+		if len(s.open.byID[id]) > 0 {
 			known = append(known, id)
 		}
 	}
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -28,7 +28,7 @@
 	Account *allocator.Account
 
 	bodyLimiter bodyLimiter
-	unsent      unsentAttempts
+	open        openAttempts
 }
 
 // acknowledgeKey is the context key of the function that acknowledges an attempt.
@@ -71,7 +71,7 @@
 		a.Body = data
 		return connection.SetReadDeadline(time.Time{})
 	}
-	ctx, handoff, done := s.unsent.add(r.Context(), a.ID)
+	ctx, handoff, done := s.open.add(r.Context(), a.ID)
 	defer done()
 	ctx = context.WithValue(ctx, acknowledgeKey{}, func() {
 		if !acknowledged {
--- a/internal/deliverer/wait_test.go
+++ b/internal/deliverer/wait_test.go
@@ -98,6 +98,18 @@
 		_, err := r.deliver("id-1")
 		r.checkRejected(t, err, "target closed to new requests")
 	})
+	t.Run("recalled", func(t *testing.T) {
+		var closed atomic.Bool
+		r, dialling, release := newWaitHarness(t, &closed)
+		var handoff forwarder.Handoff
+		go func() {
+			<-dialling
+			handoff.Recall()
+			close(release)
+		}()
+		_, err := r.deliverContext(carrier.WithHandoff(t.Context(), &handoff), "id-1")
+		r.checkRejected(t, err, "recalled")
+	})
 	t.Run("rejected before it is sent", func(t *testing.T) {
 		var closed atomic.Bool
 		r, dialling, release := newWaitHarness(t, &closed)
--- a/internal/forwarder/handoff_test.go
+++ b/internal/forwarder/handoff_test.go
@@ -29,6 +29,11 @@
 	}
 }
 
+// transportFunc is a transport that is a function.
+type transportFunc func(r *http.Request) (*http.Response, error)
+
+func (f transportFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 // TestRoundTripIf guards against requests that are sent after a wait for a connection
 // although they must not be, or with the headers from before it.
 func TestRoundTripIf(t *testing.T) {
@@ -54,13 +59,20 @@
 				t.Fatal(err)
 			}
 			req.Header.Set("Left", "2")
-			resp, err := forwarder.RoundTripIf(tr, req, func() error {
+			var inner *http.Request
+			resp, err := forwarder.RoundTripIf(transportFunc(func(r *http.Request) (*http.Response, error) {
+				inner = r
+				return tr.RoundTrip(r)
+			}), req, func() error {
 				if !dialled {
 					t.Error("checked before there is a connection")
 				}
 				req.Header.Set("Left", "1")
 				return check
 			})
+			if blamesConnection := inner.Context().Err() == nil; blamesConnection != (check == nil) {
+				t.Errorf("context of the request that the transport got: %v", inner.Context().Err())
+			}
 			if check != nil {
 				if err != check || classifier.VerdictOf(err) != classifier.NotRun || requests.Load() != 0 {
 					t.Errorf("error %v, %d requests arrived; want %v and none", err, requests.Load(), check)
--- a/internal/forwarder/roundtrip.go
+++ b/internal/forwarder/roundtrip.go
@@ -260,8 +260,10 @@
 type connTrace struct {
 	// ctx is the context of the request, with its client's connection.
 	ctx context.Context
-	// check is called when the request has a connection. It may be nil.
+	// check is called when the request has a connection, and cancel ends the request if it is
+	// rejected. They may be nil.
 	check         func() error
+	cancel        context.CancelCauseFunc
 	conn          atomic.Pointer[countingConn]
 	connected     atomic.Bool
 	startOffset   atomic.Int64
@@ -275,6 +277,9 @@
 func (ct *connTrace) gotConn(info httptrace.GotConnInfo) {
 	if err := ct.checkRequest(); err != nil {
 		ct.rejected.Store(&err)
+		if ct.cancel != nil {
+			ct.cancel(err)
+		}
 		_ = info.Conn.Close()
 	}
 	if c, ok := info.Conn.(*countingConn); ok {
@@ -374,13 +379,18 @@
 
 // RoundTripIf sends a request like RoundTrip, unless check returns an error, which must have
 // the verdict NotRun. check is called when the request has a connection, before any byte is
-// written, and may change the values of its headers.
+// written, and may change the values of its headers. After an error, the context of the
+// request that rt has got is done, so that rt doesn't blame the connection.
 func RoundTripIf(rt http.RoundTripper, req *http.Request, check func() error) (*http.Response, error) {
+	ctx := req.Context()
 	ct := connTrace{
-		ctx:   req.Context(),
+		ctx:   ctx,
 		check: check,
 	}
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: ct.gotConn})
+	if check != nil {
+		ctx, ct.cancel = context.WithCancelCause(ctx)
+	}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: ct.gotConn})
 	resp, err := rt.RoundTrip(req.WithContext(ctx))
 	switch {
 	case err == nil && IsFinalStatus(resp.StatusCode):
--- a/internal/sidecar/recall_test.go
+++ b/internal/sidecar/recall_test.go
@@ -15,8 +15,15 @@
 // TestStopAnswersRequestsThatWaitElsewhere guards against requests whose connections end
 // without a response because they wait for a slot at another daemon.
 func TestStopAnswersRequestsThatWaitElsewhere(t *testing.T) {
+	// With the longer time, the attempts are recalled after the daemon has left the membership.
+	for _, grace := range []time.Duration{time.Second, 4 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) { checkStopWhileRequestsWait(t, grace) })
+	}
+}
+
+func checkStopWhileRequestsWait(t *testing.T, grace time.Duration) {
 	m := newMesh(t)
-	m.grace = time.Second
+	m.grace = grace
 	entry := m.addNode("zilina", "front", "v1")
 	target := m.addNode("martin", "desk", "v1")
 	const timeout, objective = 20 * time.Second, 10 * time.Second
