admitter: a recalled attempt is logged as recalled

The log of the target's daemon said that the client went away for attempts that their sender had recalled. The cause of a cancellation is logged now where it is a failure of its own. TestCancelled failed to compile before, since there was no such cause.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -195,6 +195,15 @@
 	return *g.target, true
 }
 
+// Cancelled returns the reason for which a request whose context has ended is rejected: the
+// cause of the context if that is a failure, or ErrCanceled.
+func Cancelled(ctx context.Context) error {
+	if f, ok := context.Cause(ctx).(*classifier.Failure); ok {
+		return f
+	}
+	return ErrCanceled
+}
+
 // Acquire waits for a slot. The verdict of its error is NotRun. If the error is
 // nil, the caller must call Release.
 func (g *Gate) Acquire(ctx context.Context, r Request) error {
@@ -208,12 +217,12 @@
 	case <-ctx.Done():
 	}
 	if g.withdraw(w) {
-		return ErrCanceled
+		return Cancelled(ctx)
 	}
 	err = <-w.result
 	if err == nil {
 		g.Release(r.Rule, Outcome{Aborted: true})
-		return ErrCanceled
+		return Cancelled(ctx)
 	}
 	return err
 }
--- a/internal/admitter/watch_test.go
+++ b/internal/admitter/watch_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coltsfootlane/coltsfootlane/internal/admitter"
+	"github.com/coltsfootlane/coltsfootlane/pkg/classifier"
 )
 
 // TestWatch guards against requests that wait, after their admission or before it, for a target
@@ -88,3 +89,33 @@
 		}
 	})
 }
+
+// TestCancelled guards against a log that blames the client for what a daemon has decided.
+func TestCancelled(t *testing.T) {
+	reason := classifier.NewFailure(classifier.NotRun, "recalled", nil)
+	for name, test := range map[string]struct{ cause, want error }{
+		"client gone": {want: admitter.ErrCanceled},
+		"recalled":    {cause: reason, want: reason},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(target())
+			for range target().Slots {
+				if err := r.acquire(r.newRequest()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			request := r.newRequest()
+			request.MaxWait = time.Hour
+			ctx, cancel := context.WithCancelCause(t.Context())
+			result := make(chan error, 1)
+			go func() { result <- r.Acquire(ctx, request) }()
+			for r.Queued() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			cancel(test.cause)
+			if err := <-result; err != test.want {
+				t.Errorf("error %v, want %v", err, test.want)
+			}
+		})
+	}
+}
--- a/internal/carrier/recall.go
+++ b/internal/carrier/recall.go
@@ -43,13 +43,13 @@
 
 type openAttempt struct {
 	handoff forwarder.Handoff
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 }
 
 // add adds an attempt. The context that it returns holds the attempt's handoff, and ends
 // when the attempt is recalled or done is called.
 func (o *openAttempts) add(ctx context.Context, id string) (_ context.Context, h *forwarder.Handoff, done func()) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	a := &openAttempt{cancel: cancel}
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -58,7 +58,7 @@
 	}
 	o.byID[id] = append(o.byID[id], a)
 	return WithHandoff(ctx, &a.handoff), &a.handoff, func() {
-		cancel()
+		cancel(nil)
 		o.remove(id, a)
 	}
 }
@@ -80,7 +80,7 @@
 	for _, id := range ids {
 		for _, a := range s.open.byID[id] {
 			if a.handoff.Recall() {
-				a.cancel()
+				a.cancel(errRecalled)
 			}
 		}
 		if len(s.open.byID[id]) > 0 {
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -3,7 +3,6 @@
 package deliverer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -191,7 +190,7 @@
 		return nil, Result{Err: classifier.NewFailure(classifier.NotRun, "body broke off", err), Aborted: true}
 	}
 	if forwarder.ClientGone(watched) {
-		return nil, Result{Err: cmp.Or(watch.Err(), error(admitter.ErrCanceled)), Aborted: true}
+		return nil, Result{Err: admitter.Cancelled(watched), Aborted: true}
 	}
 	onConnected, done, err := d.BeforeForward(a)
 	if err != nil {
--- a/internal/dispatcher/recall.go
+++ b/internal/dispatcher/recall.go
@@ -24,13 +24,13 @@
 	call    *call
 	daemon  string
 	handoff forwarder.Handoff
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 }
 
 // add adds an attempt at the daemon of a target. The context that it returns holds the
 // attempt's handoff, and ends when the attempt is recalled or ended is called.
 func (f *inFlight) add(ctx context.Context, c *call, daemon string) (_ context.Context, ended func()) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	a := &inFlightAttempt{
 		call:   c,
 		daemon: daemon,
@@ -43,7 +43,7 @@
 	}
 	f.attempts[a] = struct{}{}
 	return carrier.WithHandoff(ctx, &a.handoff), func() {
-		cancel()
+		cancel(nil)
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		delete(f.attempts, a)
@@ -68,7 +68,7 @@
 		switch {
 		case !d.endsTooSoon(a.call):
 		case a.handoff.Recall():
-			a.cancel()
+			a.cancel(forwarder.ErrRecalled)
 		case a.daemon != d.Daemon && a.call.client.ID != "":
 			remote = append(remote, Recall{
 				Daemon: a.daemon,
